--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,341 @@
+//! The types that go in and out of the decision module. Nothing here decides anything.
+//! Times are milliseconds of the caller's monotonic clock, spans are milliseconds.
+
+/// What a repeat of a request may do at the destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat at any time.
+    Safe,
+    /// The destination drops repeats for a while after the first send.
+    Keyed,
+    /// Must never take effect twice.
+    Unsafe,
+}
+
+/// Which endpoints of a destination remember the key of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Any endpoint of the destination.
+    All,
+    /// Only endpoints of the same zone.
+    Zone,
+    /// Only the endpoint itself.
+    Endpoint,
+}
+
+/// How worth falls after the aim.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fade {
+    /// Evenly, down to the late value at the deadline.
+    #[default]
+    Even,
+    /// By half with each further aim, not under the late value.
+    Halves,
+}
+
+/// What the weight of an endpoint in the list means.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WeightMeaning {
+    /// Nothing: it is always 1.
+    #[default]
+    Nothing,
+    /// Calls a second that the destination takes from all relays.
+    Rate,
+    /// The same, but not exact.
+    RoughRate,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Delivered within this time, a request has its full worth.
+    pub aim_ms: f64,
+    /// A request may be delivered for this long.
+    pub deadline_ms: f64,
+    /// What a repeat may do.
+    pub effect: Effect,
+    /// Which endpoints drop a repeat.
+    pub group: Group,
+    /// For how long a repeat is dropped after the first send that may have run.
+    pub window_ms: f64,
+    /// Worth of one request.
+    pub worth: f64,
+    /// The share of the worth that is left at the deadline.
+    pub late_worth: f64,
+    /// Requests with the same key go one at a time, in order.
+    pub in_order: bool,
+}
+
+/// What the relay is told at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// Number of relays that share the destinations.
+    pub relays: usize,
+    /// The zone of this relay.
+    pub zone: u32,
+    /// Calls that this relay may have out at once.
+    pub slots: usize,
+    /// Requests that it may hold, sent or not.
+    pub max_open: usize,
+    /// Attempts for one request at most.
+    pub max_attempts: u32,
+    /// The classes, by index.
+    pub classes: Vec<Class>,
+    /// Requests a second within each tenant's share, over all relays, by tenant index.
+    pub tenant_rates: Vec<f64>,
+    /// The worth of a request beyond its tenant's share, as a part of the worth of its class.
+    pub over_share_worth: f64,
+    /// How worth falls after the aim.
+    pub fade: Fade,
+    /// For each kind of destination: how many requests one call may carry.
+    pub batch: Vec<usize>,
+    /// For each kind of destination: whether its endpoints are routes apart.
+    pub apart: Vec<bool>,
+    /// For each zone: the price of a request taken on by a route apart there.
+    pub route_fee: Vec<f64>,
+    /// The price of an attempt that crosses zones.
+    pub cross_zone_cost: f64,
+    /// The price of a new connection.
+    pub handshake_cost: f64,
+    /// What weights in the list mean.
+    pub weights: WeightMeaning,
+    /// The column of load reports that holds the share of the limit left.
+    pub left_column: Option<usize>,
+    /// The column of load reports that holds the limit in calls a second.
+    pub limit_column: Option<usize>,
+    /// The list comes only when asked for.
+    pub ask_discovery: bool,
+    /// Attempts may be cancelled.
+    pub may_cancel: bool,
+    /// Endpoints may be probed.
+    pub may_probe: bool,
+    /// Two attempts of one request may be out at once.
+    pub second_copies: bool,
+    /// Clients are told when to come again.
+    pub retry_after: bool,
+    /// The longest wait that a client honours.
+    pub max_retry_after_ms: f64,
+    /// Idle connections close after this time.
+    pub conn_idle_ms: f64,
+    /// A connection carries this many calls at once.
+    pub conn_streams: usize,
+    /// After an outage a destination can do this share of its capacity or more.
+    pub cold_share: f64,
+    /// It is warm again after this time.
+    pub warm_after_ms: f64,
+    /// Sent more than this multiple of what it can do, it falls over.
+    pub fall_multiple: f64,
+    /// If that lasts for this long.
+    pub fall_ms: f64,
+    /// Rest for a key after an attempt that may still run.
+    pub order_pause_ms: f64,
+    /// The least time between two rounds of events.
+    pub tick_ms: f64,
+}
+
+/// State of an endpoint in the list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Listed {
+    /// Listed; this says nothing of its health.
+    #[default]
+    Active,
+    /// Drains: nothing new goes there.
+    Leaving,
+    /// Removed.
+    Gone,
+}
+
+/// An endpoint in the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    /// Its address.
+    pub name: String,
+    /// The destination that it belongs to.
+    pub destination: u64,
+    /// Its zone.
+    pub zone: u32,
+    /// The kind of its destination.
+    pub kind: usize,
+    /// Its weight, see [`WeightMeaning`].
+    pub weight: f64,
+    /// Its state.
+    pub listed: Listed,
+}
+
+/// What the list says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Discovery {
+    /// The whole list; what is missing is gone.
+    Whole(Vec<Endpoint>),
+    /// The list as it was last held, perhaps outdated.
+    Cached(Vec<Endpoint>),
+    /// Only what changed.
+    Changes(Vec<Endpoint>),
+    /// A call failed or the watch broke off; the list held stays valid.
+    Failed,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Delivered,
+    /// An error; it may have taken effect.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have taken effect or still do so.
+    TimedOut,
+    /// No connection was possible.
+    NoConnection,
+    /// The connection broke; it may have taken effect.
+    Broken,
+    /// Called off; it may have taken effect.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// What the relay sees.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News of the list.
+    Discovery(Discovery),
+    /// A request was handed in.
+    Request {
+        /// Its id.
+        id: u64,
+        /// Index of its class.
+        class: usize,
+        /// Index of its tenant.
+        tenant: usize,
+        /// Its key, for classes in order.
+        key: Option<String>,
+        /// It may be delivered until this time.
+        due: f64,
+        /// The destination.
+        destination: u64,
+    },
+    /// The answer of a streamed attempt has begun.
+    Started {
+        /// The request.
+        id: u64,
+        /// The attempt, counted from 0.
+        attempt: u32,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request.
+        id: u64,
+        /// The attempt, counted from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the send.
+        took_ms: f64,
+        /// The request is over and needs no answer.
+        settled: bool,
+        /// The wait told with [`Outcome::Full`], 0 if none.
+        wait_ms: f64,
+        /// The load report, empty if there is none.
+        report: Vec<f64>,
+    },
+    /// The client withdrew the request.
+    Withdrawn {
+        /// The request.
+        id: u64,
+    },
+    /// A timer that was set is due.
+    Timer {
+        /// As given with [`Action::Timer`].
+        token: u64,
+    },
+    /// A probe ended.
+    Probed {
+        /// The endpoint.
+        endpoint: String,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since it was sent.
+        took_ms: f64,
+        /// The load report, empty if there is none.
+        report: Vec<f64>,
+    },
+    /// A note from another relay.
+    Note {
+        /// Its index.
+        from: usize,
+        /// The bytes.
+        data: Vec<u8>,
+    },
+}
+
+/// What the relay wants done, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        id: u64,
+        /// Where to.
+        endpoint: String,
+        /// Its time-out; `None`: until the client quits.
+        timeout_ms: Option<f64>,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        id: u64,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// Final answer: not delivered, and trying again is harmless.
+    Refuse {
+        /// The request.
+        id: u64,
+        /// How long the client should wait before it comes again.
+        retry_after_ms: Option<f64>,
+    },
+    /// Final answer: given up, with no promise.
+    Fail {
+        /// The request.
+        id: u64,
+    },
+    /// Wake the relay at this time.
+    Timer {
+        /// When.
+        at: f64,
+        /// Given back with the event.
+        token: u64,
+    },
+    /// Probe an endpoint.
+    Probe {
+        /// Which.
+        endpoint: String,
+    },
+    /// Close idle connections to an endpoint.
+    CloseIdle {
+        /// Which.
+        endpoint: String,
+    },
+    /// Send a note to a relay, or to all.
+    Tell {
+        /// Index of the relay; `None`: all of them.
+        to: Option<usize>,
+        /// The bytes.
+        data: Vec<u8>,
+    },
+    /// Watch the list, or stop watching.
+    Watch(bool),
+    /// Ask for the whole list once.
+    Fetch,
+    /// A line for the log.
+    Log(String),
+}
