--- /dev/null
+++ b/src/bin/mulleinslip/discovery.rs
@@ -0,0 +1,80 @@
+//! The list of hosts: fetched once, then watched without a gap. On a failure the list held stays in force.
+
+use crate::config::List;
+use crate::conn::{bytes, Conn};
+use crate::driver::Happened;
+use hyper::{Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::sleep;
+
+/// How long one watch may wait. Short, as an agent that has fallen silent shows only when this is over.
+const WATCH: Duration = Duration::from_millis(5000);
+const GRACE: Duration = Duration::from_millis(1000);
+const CONNECT: Duration = Duration::from_millis(1000);
+const RETRY_MS: (u64, u64) = (50, 1000);
+
+/// Discovery's agent, over one connection that is kept.
+pub struct Discovery {
+    address: SocketAddr,
+    conn: Option<Conn>,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr) -> Discovery {
+        Discovery { address, conn: None }
+    }
+
+    /// The whole list (`after` is `None`), or what is newer than that version.
+    pub async fn ask(&mut self, after: Option<u64>) -> Result<List, String> {
+        let path = match after {
+            None => "/catalog/members".to_string(),
+            Some(index) => format!("/catalog/members?after={index}&wait_ms={}", WATCH.as_millis()),
+        };
+        let within = GRACE + after.map_or(Duration::ZERO, |_| WATCH);
+        let mut conn = match self.conn.take().filter(Conn::usable) {
+            Some(conn) => conn,
+            None => Conn::open(self.address, CONNECT).await.map_err(|e| e.to_string())?,
+        };
+        let request = Request::get(path).header("Host", self.address.to_string()).body(bytes(""));
+        let request = request.map_err(|e| e.to_string())?;
+        let answer = tokio::time::timeout(within, conn.exchange(request, GRACE))
+            .await
+            .map_err(|_| "no answer in time".to_string())?
+            .map_err(|e| e.to_string())?;
+        if answer.status != StatusCode::OK {
+            return Err(format!("answer {}", answer.status));
+        }
+        let body = answer.body.ok_or("the answer broke off")?;
+        self.conn = Some(conn);
+        serde_json::from_slice(&body).map_err(|e| format!("a list that can't be read: {e}"))
+    }
+
+    /// Tells all news for good. `index` is the version held, if a list was fetched already.
+    pub async fn watch(mut self, mut index: Option<u64>, news: UnboundedSender<Happened>) {
+        let mut failures = 0u32;
+        loop {
+            match self.ask(index).await {
+                Ok(list) => {
+                    if failures > 0 {
+                        eprintln!("mulleinslip: discovery is back");
+                    }
+                    failures = 0;
+                    index = Some(list.index);
+                    if news.send(Happened::List(list)).is_err() {
+                        return;
+                    }
+                }
+                Err(e) => {
+                    if failures == 0 {
+                        eprintln!("mulleinslip: discovery: {e}; the list held stays in force");
+                    }
+                    let most = (RETRY_MS.0 << failures.min(6)).min(RETRY_MS.1);
+                    failures = failures.saturating_add(1);
+                    sleep(Duration::from_millis(fastrand::u64(most / 2..=most))).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/mulleinslip/notices.rs
@@ -0,0 +1,93 @@
+//! Notices to the platform: how a message ended that was taken on and not delivered. Each is sent at once and
+//! again until it is answered 204; one for a message that is over does no harm.
+
+use crate::conn::{bytes, Conn};
+use crate::driver::Happened;
+use crate::journal::Verdict;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::time::{sleep, timeout};
+
+const WITHIN: Duration = Duration::from_millis(500);
+const RETRY_MS: (u64, u64) = (20, 500);
+/// Lines in one request.
+const MOST: usize = 200;
+
+pub struct Notice {
+    pub id: u64,
+    pub call_id: String,
+    pub verdict: Verdict,
+}
+
+impl Notice {
+    fn line(&self) -> String {
+        let line = match self.verdict {
+            Verdict::Undeliverable => json!({"id": self.call_id, "status": "undeliverable"}),
+            Verdict::Deferred { again_ms: None } => json!({"id": self.call_id, "status": "deferred"}),
+            Verdict::Deferred { again_ms: Some(ms) } => {
+                json!({"id": self.call_id, "status": "deferred", "again_ms": ms.ceil() as u64})
+            }
+        };
+        format!("{line}\n")
+    }
+}
+
+async fn post(conn: &mut Option<Conn>, to: SocketAddr, body: String) -> Result<StatusCode, String> {
+    let mut used = match conn.take().filter(Conn::usable) {
+        Some(conn) => conn,
+        None => Conn::open(to, WITHIN).await.map_err(|e| e.to_string())?,
+    };
+    let request = Request::post("/v1/outcomes").header("Host", to.to_string()).body(bytes(body));
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = timeout(WITHIN, used.exchange(request, WITHIN)).await;
+    let answer = answer.map_err(|_| "no answer in time".to_string())?.map_err(|e| e.to_string())?;
+    *conn = Some(used);
+    Ok(answer.status)
+}
+
+/// Sends what comes in, for good.
+pub async fn run(to: SocketAddr, mut inbox: UnboundedReceiver<Notice>, done: UnboundedSender<Happened>) {
+    let mut conn = None;
+    let mut waiting: Vec<Notice> = Vec::new();
+    // After a 400 the notices go one by one, so that one that can't be read holds up no other.
+    let mut most = MOST;
+    let mut failures = 0u32;
+    loop {
+        if waiting.is_empty() {
+            match inbox.recv().await {
+                Some(notice) => waiting.push(notice),
+                None => return,
+            }
+        }
+        while let Ok(notice) = inbox.try_recv() {
+            waiting.push(notice);
+        }
+        let count = waiting.len().min(most);
+        let body: String = waiting[..count].iter().map(Notice::line).collect();
+        match post(&mut conn, to, body).await {
+            Ok(StatusCode::BAD_REQUEST) if count > 1 => most = 1,
+            Ok(status) if status == StatusCode::NO_CONTENT || status == StatusCode::BAD_REQUEST => {
+                if status == StatusCode::BAD_REQUEST {
+                    eprintln!("mulleinslip: a notice can't be read there: {}", waiting[0].line().trim_end());
+                }
+                let over = waiting.drain(..count).map(|n| n.id).collect();
+                if done.send(Happened::Noticed(over)).is_err() {
+                    return;
+                }
+                (most, failures) = (if waiting.is_empty() { MOST } else { most }, 0);
+            }
+            other => {
+                if failures == 0 {
+                    let why = other.map_or_else(|e| e, |status| format!("answer {status}"));
+                    eprintln!("mulleinslip: notices: {why}; they are sent again");
+                }
+                let most = (RETRY_MS.0 << failures.min(6)).min(RETRY_MS.1);
+                failures = failures.saturating_add(1);
+                sleep(Duration::from_millis(fastrand::u64(most / 2..=most))).await;
+            }
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,19 @@
     Failed,
 }
 
+/// A destination, or a route of its own, that is out or has come back and may be cold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outage {
+    /// The destination.
+    pub destination: u64,
+    /// The endpoint, where the endpoints are routes apart; else empty.
+    pub endpoint: String,
+    /// When it came back, if it did.
+    pub back: Option<f64>,
+    /// What this relay delivered there before, a second.
+    pub before: f64,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -223,6 +236,34 @@
         /// The destination.
         destination: u64,
     },
+    /// A request that an earlier process of this relay had taken on, with what is known of its attempts.
+    Restored {
+        /// Its id.
+        id: u64,
+        /// Index of its class.
+        class: usize,
+        /// Index of its tenant.
+        tenant: usize,
+        /// Its key, for classes in order.
+        key: Option<String>,
+        /// It may be delivered until this time.
+        due: f64,
+        /// The destination.
+        destination: u64,
+        /// Attempts made; the next one has this number.
+        attempts: u32,
+        /// The first send that may have run: when and where.
+        maybe: Option<(f64, String)>,
+        /// An attempt may be running yet.
+        uncertain: bool,
+    },
+    /// Outages that an earlier process of this relay knew of.
+    Outages(Vec<Outage>),
+    /// The process will end: nothing is to be begun that may be out at this time.
+    Stopping {
+        /// When.
+        at: f64,
+    },
     /// The answer of a streamed attempt has begun.
     Started {
         /// The request.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Time-outs: generous, as the work runs on; none for what could not be tried again.
+fn time_out(now: f64, l: &Lane, c: &Class, due: f64) -> Option<f64> {
+    let base = l.overrun(c.aim_ms);
+    let trial = l.phase == Phase::Out;
+    let cap = if trial { base.max(c.aim_ms / 2.0) } else { (3.0 * base).max(c.aim_ms).min(2.0 * c.aim_ms) };
+    let cap = cap * f64::from(1u32 << l.fails.min(2));
+    (c.effect != Effect::Unsafe && now + cap < due).then_some(cap)
+}
+
 /// The decisions of one relay.
 #[derive(Debug, Default)]
 pub struct Relay {
@@ -77,6 +86,8 @@
     ask_wait: f64,
     armed: f64,
     probes: BTreeMap<String, LaneId>,
+    /// The process ends then.
+    stop_at: Option<f64>,
     /// By kind of destination: when a connection was last refused or broke.
     conns_hurt: BTreeMap<usize, f64>,
 }
@@ -104,10 +115,26 @@
         self.dests.retain(|_, d| d.out > 0 || !d.hold.is_empty());
     }
 
+    /// The outages that a later process of this relay should know of.
+    pub fn outages(&self) -> Vec<Outage> {
+        let known = self.lanes.iter().filter_map(|((destination, endpoint), l)| {
+            let back = match l.phase {
+                Phase::Well => return None,
+                Phase::Out => None,
+                Phase::Ramp(since) => Some(since),
+            };
+            Some(Outage { destination: *destination, endpoint: endpoint.clone(), back, before: l.before })
+        });
+        known.collect()
+    }
+
     fn event(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Discovery(news) => self.discovery(news, out),
             Event::Request { .. } => self.take(event, out),
+            Event::Restored { .. } => self.restore(event, out),
+            Event::Outages(known) => known.iter().for_each(|o| self.recall(o)),
+            Event::Stopping { at } => self.stop_at = Some(*at),
             Event::Started { id, .. } => {
                 self.msgs.entry(*id).and_modify(|m| m.started = true);
             }
@@ -397,6 +424,42 @@
         self.make_room(out);
     }
 
+    /// A request of an earlier process: what its attempts may have done binds here as it did there.
+    fn restore(&mut self, event: &Event, out: &mut Vec<Action>) {
+        let Event::Restored { id, class, tenant, key, due, destination, attempts, maybe, uncertain } = event
+        else {
+            return;
+        };
+        let (id, class, due) = (*id, (*class).min(self.s.classes.len().saturating_sub(1)), *due);
+        let Some(c) = self.s.classes.get(class) else { return out.push(Action::Fail { id }) };
+        let (born, key) = ((due - c.deadline_ms).min(self.now), key.clone().filter(|_| c.in_order));
+        let lost = maybe.is_some() && c.effect == Effect::Unsafe;
+        self.seq += 1;
+        if let Some(k) = &key {
+            let line = self.keys.entry(k.clone()).or_default();
+            line.line.push_back(id);
+            if *uncertain {
+                (line.rest, line.last) = (self.now + self.s.order_pause_ms, id);
+            }
+        }
+        let (tries, maybe, dest, seq) = (*attempts, maybe.clone(), *destination, self.seq);
+        let (tenant, held) = (*tenant, true);
+        let m = Msg { class, tenant, key, born, due, dest, seq, held, tries, maybe, ..Msg::default() };
+        self.msgs.insert(id, m);
+        self.dests.entry(dest).or_default().hold.push_back(id);
+        if lost || tries >= self.s.max_attempts || self.now >= due - 1.0 {
+            self.give_up(id, out);
+        }
+    }
+
+    /// An outage that an earlier process knew of: trials first, or a ramp, as if this one had seen it.
+    fn recall(&mut self, o: &Outage) {
+        let now = self.now;
+        let id = (o.destination, o.endpoint.clone());
+        let l = self.lanes.entry(id).or_insert_with(|| Lane::new(now));
+        (l.phase, l.before, l.trial_at) = (o.back.map_or(Phase::Out, Phase::Ramp), o.before, now);
+    }
+
     /// Keeps one place free for what comes next: with the hold full, the request that earns least for the
     /// time that it keeps its place is refused, the newest first among equals. Without this, what is held
     /// for dead destinations fills the hold, and what could go straight out is turned away.
@@ -681,9 +744,15 @@
             return false;
         }
         let c = &self.s.classes[m.class];
+        let lane = self.lanes.get(&self.lane_of(host, h));
+        // What is out when the process ends may have run, for all that anyone will know.
+        let ends = |l: &Lane| time_out(self.now, l, c, m.due).map_or(m.due, |ms| self.now + ms);
+        if self.stop_at.is_some_and(|stop| lane.is_none_or(|l| ends(l) > stop)) {
+            return false;
+        }
         if c.effect == Effect::Unsafe {
             // An unsafe request is lost by any failure that may have run: it waits for a lane that works.
-            let share = self.lanes.get(&self.lane_of(host, h)).map_or(0.0, |l| l.share);
+            let share = lane.map_or(0.0, |l| l.share);
             if (trial || share > 0.3) && m.due - self.now > c.aim_ms {
                 return false;
             }
@@ -762,12 +831,7 @@
         let Some(l) = self.lanes.get_mut(&lane_id) else { return };
         let trial = l.phase == Phase::Out;
         let batch = self.s.batch.get(h.kind).copied().unwrap_or(1).max(1);
-        // Time-outs: generous, as the work runs on; none for what could not be tried again.
-        let base = l.overrun(c.aim_ms);
-        let cap =
-            if trial { base.max(c.aim_ms / 2.0) } else { (3.0 * base).max(c.aim_ms).min(2.0 * c.aim_ms) };
-        let cap = cap * f64::from(1u32 << l.fails.min(2));
-        let timeout_ms = (c.effect != Effect::Unsafe && now + cap < m.due).then_some(cap);
+        let timeout_ms = time_out(now, l, &c, m.due);
         let joined = match self.open.get_mut(host) {
             Some((call, room)) => {
                 *room -= 1;
