Tests of the relay over loopback sockets; an attempt that began on a stale connection keeps its record

Seen while reading calls.rs: an attempt recorded as begun, whose kept connection proved closed and which then found its host leaving, got no outcome record; a restart would have taken it for one that may have run, and an unsafe message would have been lost. Now every attempt that began gets its outcome.

22 tests run the program itself against hosts, an agent and clients with fixed replies: take-on, each row of the outcome table, waits, drains, stale connections, keyed windows, order by key, SIGKILL, SIGTERM, torn, damaged and full journals, notices, bad input, lost discovery.

--- a/src/bin/mulleinslip/calls.rs
+++ b/src/bin/mulleinslip/calls.rs
@@ -186,28 +186,29 @@
             begun.inspect_err(|e| eprintln!("mulleinslip: journal: {e}; attempt not made")).is_ok()
         };
         let exchange = self.exchange(&call.endpoint, Some(call.dest), request, begin, &progress);
-        let (outcome, begun) = tokio::select! {
+        let outcome = tokio::select! {
             biased;
-            Ok(()) = cancel => (Outcome::Cancelled, None),
+            Ok(()) = cancel => Outcome::Cancelled,
             r = tokio::time::timeout(call.wait, exchange) => match r {
                 Ok(Ok(answer)) => {
                     let end = self.read(&call.endpoint, &answer);
                     self.record(call, &end.outcome);
                     return end;
                 }
-                Ok(Err(Held::NoConnection)) => (Outcome::NoConnection, None),
-                Ok(Err(Held::NotNow)) => (Outcome::NotSent, Some(false)),
-                Err(_) => (Outcome::TimedOut, None),
+                Ok(Err(Held::NoConnection)) => Outcome::NoConnection,
+                Ok(Err(Held::NotNow)) => Outcome::NotSent,
+                Err(_) => Outcome::TimedOut,
             }
         };
         // The connection is closed by now. What was not written whole can't have run.
+        let begun = progress.borrow().is_some();
         let written = progress.borrow().as_ref().is_some_and(|p| p.complete());
         let outcome = match outcome {
             Outcome::NoConnection if written => Outcome::Broken,
             Outcome::Cancelled | Outcome::TimedOut if !written => Outcome::NoConnection,
             other => other,
         };
-        if begun.unwrap_or(progress.borrow().is_some()) {
+        if begun {
             self.record(call, &outcome);
         }
         End { outcome, settled: false, wait_ms: 0.0, report: Vec::new() }
--- a/src/bin/mulleinslip/main.rs
+++ b/src/bin/mulleinslip/main.rs
@@ -28,6 +28,13 @@
 const OTHER_DESCRIPTORS: usize = 64;
 
 fn main() -> ExitCode {
+    // A task that panics would leave its message without an end and nobody the wiser; a process that ends
+    // starts again from its journal.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
     let done = config::read().and_then(|config| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -72,6 +79,7 @@
     spawn_local(async move { calls.sweep().await });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let listening = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let intake = Rc::new(intake::Intake {
         names: config.names,
         classes: config.settings.classes.clone(),
@@ -89,7 +97,7 @@
         tokio::time::sleep(KEEP_LISTENING).await;
         let _no_clients = close_idle.send(true);
     });
-    eprintln!("mulleinslip: {} serves on {}", config.name, config.listen);
+    eprintln!("mulleinslip: {} serves on {listening}", config.name);
     driver.run(inbox).await;
     Ok(())
 }
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,460 @@
+//! The relay as a program, over loopback sockets.
+mod sockets;
+use serde_json::json;
+use sockets::*;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_message_is_taken_on_and_delivered_as_it_came() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 7, &host)]);
+    let relay = Relay::start(&agent);
+    let body: Vec<u8> = (0..=255).cycle().take(64 * 1024).collect();
+    let answer = relay.client().hand_in("keyed", "m1", 7, 4000, &body);
+    assert_eq!(answer.status(), 202);
+    let call = host.wait_calls(1).remove(0);
+    assert_eq!(call.line, "POST /inbox HTTP/1.1");
+    assert_eq!((call.id(), call.header("Idempotency-Key")), ("m1", "key-m1"));
+    assert!(call.header("X-Budget").ends_with('m') && call.body == body);
+    // Delivered, it is owed nothing: no second call and no notice, also not after a restart.
+    host.wait_reuse(&relay, 7);
+    let relay = relay.killed(|_| {});
+    relay.take("safe", "m3", 7);
+    until("the next message", || (host.calls_of("m3") == 1).then_some(()));
+    assert_eq!((host.calls_of("m1"), agent.notices_of("m1").len()), (1, 0));
+}
+
+#[test]
+fn health_is_answered_and_connections_are_kept_on_both_sides() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let mut client = relay.client();
+    client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.answer().unwrap().status(), 200);
+    for n in 0..5 {
+        assert_eq!(client.hand_in("safe", &format!("k{n}"), 1, 4000, b"").status(), 202);
+        host.wait_calls(n + 1);
+    }
+    host.wait_reuse(&relay, 1);
+    // Calls may overlap, but they never need more connections than may be out at once.
+    assert!(host.conns.load(std::sync::atomic::Ordering::SeqCst) <= 3);
+}
+
+/// Each row of the protocol's table: what a host does first, and how often a message of each effect comes.
+#[test]
+fn each_outcome_is_told_apart() {
+    let rows: &[(Reply, &str, usize, bool)] = &[
+        // A reply, a class, calls in all, whether it ends by a notice.
+        (Reply::Status(200), "unsafe", 1, false),
+        (Reply::Status(500), "safe", 2, false),
+        (Reply::Status(500), "keyed", 2, false),
+        (Reply::Status(500), "unsafe", 1, true),
+        (Reply::With(429, "Retry-After: 0.05\r\n"), "unsafe", 2, false),
+        (Reply::Status(503), "unsafe", 2, false),
+        (Reply::With(503, "X-No-Slot: 1\r\n"), "unsafe", 2, false),
+        (Reply::Status(504), "unsafe", 2, false),
+        (Reply::Status(410), "safe", 1, false),
+        (Reply::Reset, "keyed", 2, false),
+        (Reply::Reset, "unsafe", 1, true),
+        (Reply::Silent, "keyed", 2, false),
+    ];
+    for (row, (reply, class, calls, notice)) in rows.iter().enumerate() {
+        let host = Host::first(vec![reply.clone()]);
+        let agent = Agent::new(&[("a", 1, &host)]);
+        let relay = Relay::start(&agent);
+        relay.take(class, "m", 1);
+        host.wait_calls(*calls);
+        if *notice {
+            assert_eq!(agent.wait_notice("m")["status"], "undeliverable", "row {row}");
+        }
+        // What comes after is delivered, so the message before it has been dealt with.
+        relay.take("safe", "last", 1);
+        until("the next message", || (host.calls_of("last") == 1).then_some(()));
+        assert_eq!(host.calls_of("m"), *calls, "row {row}: {reply:?} for {class}");
+        assert_eq!(agent.notices_of("m").len(), usize::from(*notice), "row {row}");
+    }
+}
+
+#[test]
+fn a_refused_connection_never_ran_and_the_other_host_gets_the_message() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("b", 1, &host)]);
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    agent.list("a", 1, gone.local_addr().unwrap(), "active");
+    drop(gone);
+    let relay = Relay::start(&agent);
+    for n in 0..4 {
+        relay.take("unsafe", &format!("m{n}"), 1);
+    }
+    host.wait_calls(4);
+    assert!((0..4).all(|n| host.calls_of(&format!("m{n}")) == 1));
+}
+
+#[test]
+fn a_told_wait_is_heeded_for_every_message() {
+    let host = Host::first(vec![Reply::With(429, "Retry-After: 0.6\r\n")]);
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "m0", 1);
+    let told = host.wait_calls(1)[0].at;
+    // Taken on while the wait binds.
+    std::thread::sleep(Duration::from_millis(50));
+    for n in 1..4 {
+        relay.take("safe", &format!("m{n}"), 1);
+    }
+    let calls = host.wait_calls(5);
+    let soonest = calls[1..].iter().map(|c| c.at - told).min().unwrap();
+    assert!(soonest >= Duration::from_millis(600), "the next call came after {soonest:?}");
+}
+
+#[test]
+fn a_host_that_drains_gets_nothing_new() {
+    let (old, new) = (Host::ok(), Host::ok());
+    let agent = Agent::new(&[("old", 1, &old)]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "before", 1);
+    old.wait_calls(1);
+    let watched = until("a watch", || Some(agent.watches()).filter(|w| *w > 0));
+    agent.list("new", 1, new.address, "active");
+    agent.list("old", 1, old.address, "leaving");
+    until("the next watch", || (agent.watches() > watched).then_some(()));
+    // The grace of the rule is 250 ms; the relay has had the list for some milliseconds at most.
+    std::thread::sleep(Duration::from_millis(100));
+    for n in 0..6 {
+        relay.take("safe", &format!("m{n}"), 1);
+    }
+    new.wait_calls(6);
+    assert_eq!(old.heard().len(), 1);
+}
+
+/// A host may close an idle connection at any time: an unsafe message written to one would be lost.
+#[test]
+fn a_stale_idle_connection_is_noticed_before_anything_is_written() {
+    let host = Host::new(|_, n| if n == 0 { Reply::AndClose } else { Reply::Status(200) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "first", 1);
+    until("the close", || (host.closed.load(std::sync::atomic::Ordering::SeqCst) == 1).then_some(()));
+    relay.take("unsafe", "second", 1);
+    let calls = host.wait_calls(2);
+    assert_eq!((calls[1].id(), calls[1].conn), ("second", 1));
+    assert!(agent.notices_of("second").is_empty());
+}
+
+#[test]
+fn a_keyed_message_that_may_have_run_is_not_sent_after_its_window() {
+    let host = Host::first(vec![Reply::Reset]);
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["settings"]["Profiles"][1]["DedupWindowMs"] = json!(1.0);
+    let relay = Relay::with(config, &agent);
+    relay.take("keyed", "m", 1);
+    assert_eq!(agent.wait_notice("m")["status"], "undeliverable");
+    assert_eq!(host.calls_of("m"), 1);
+}
+
+#[test]
+fn messages_of_one_key_go_one_at_a_time_and_in_order() {
+    let host = Host::new(|_, n| if n == 1 { Reply::Status(500) } else { Reply::Late(20) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let mut client = relay.client();
+    for n in 0..4 {
+        assert_eq!(client.hand_in("ordered?about=k", &format!("m{n}"), 1, 4000, b"").status(), 202);
+    }
+    let calls = host.wait_calls(5);
+    let order: Vec<_> = calls.iter().map(|c| c.id().to_string()).collect();
+    assert_eq!(order, ["m0", "m1", "m1", "m2", "m3"]);
+}
+
+/// SIGKILL with one message held, three out, one ended and one whose notice was never confirmed.
+#[test]
+fn what_was_taken_on_outlasts_the_process() {
+    let silent = Host::new(|_, n| if n < 3 { Reply::Silent } else { Reply::Status(200) });
+    let fine = Host::ok();
+    let agent = Agent::new(&[("a", 1, &silent), ("b", 2, &fine)]);
+    agent.reply_to_notices(vec![500; 10_000]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "ended", 2);
+    fine.wait_calls(1);
+    relay.take("safe", "held", 3);
+    // In one message's short time there is no host for it: given up, and its notice fails.
+    assert_eq!(relay.client().hand_in("safe", "unheard", 3, 30, b"").status(), 202);
+    agent.wait_notice("unheard");
+    for class in ["safe", "keyed", "unsafe"] {
+        relay.take(class, &format!("out-{class}"), 1);
+    }
+    silent.wait_calls(3);
+    let relay = relay.killed(|_| {
+        agent.reply_to_notices(Vec::new());
+        agent.list("c", 3, fine.address, "active");
+    });
+    let before = agent.notices_of("unheard").len();
+    until("the notice once more", || (agent.notices_of("unheard").len() > before).then_some(()));
+    until("what was held", || (fine.calls_of("held") == 1).then_some(()));
+    until("what may be repeated", || {
+        (silent.calls_of("out-safe") == 2 && silent.calls_of("out-keyed") == 2).then_some(())
+    });
+    assert_eq!(agent.wait_notice("out-unsafe")["status"], "undeliverable");
+    assert_eq!((fine.calls_of("ended"), silent.calls_of("out-unsafe")), (1, 1));
+    assert!(agent.notices_of("out-safe").is_empty() && agent.notices_of("out-keyed").is_empty());
+    // Each is over now, so a further process sends none of them again.
+    fine.wait_reuse(&relay, 2);
+    let counts = || (fine.calls_of("held"), silent.calls_of("out-keyed"), agent.notices_of("unheard").len());
+    let over = counts();
+    let relay = relay.killed(|_| {});
+    relay.take("safe", "last", 2);
+    until("the last message", || (fine.calls_of("last") == 1).then_some(()));
+    assert_eq!(counts(), over);
+}
+
+#[test]
+fn attempts_are_counted_across_processes() {
+    let host = Host::new(|_, n| if n == 2 { Reply::Silent } else { Reply::Status(500) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["settings"]["Limits"]["MaxAttempts"] = json!(3);
+    let relay = Relay::with(config, &agent);
+    relay.take("safe", "m", 1);
+    host.wait_calls(3);
+    let _relay = relay.killed(|_| {});
+    // Three attempts were made: the message is given up, by the process that made none of them.
+    agent.wait_notice("m");
+    assert_eq!(host.calls_of("m"), 3);
+}
+
+#[test]
+fn overdue_messages_end_at_the_restart() {
+    let agent = Agent::new(&[]);
+    let relay = Relay::start(&agent);
+    assert_eq!(relay.client().hand_in("safe", "m", 1, 300, b"").status(), 202);
+    let _relay = relay.killed(|_| std::thread::sleep(Duration::from_millis(400)));
+    assert_eq!(agent.wait_notice("m")["status"], "deferred");
+}
+
+#[test]
+fn a_torn_tail_and_a_damaged_record_cost_only_themselves() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    let relay = Relay::start(&agent);
+    for id in ["one", "two", "three"] {
+        relay.take("safe", id, 1);
+    }
+    let relay = relay.killed(|journal| {
+        let mut bytes = std::fs::read(journal).unwrap();
+        let place = bytes.windows(3).position(|w| w == b"two").unwrap();
+        bytes[place] ^= 0xff;
+        bytes.extend_from_slice(b"\xf5mj\x01\x40\0\0\0torn");
+        std::fs::write(journal, bytes).unwrap();
+        agent.list("a", 1, host.address, "active");
+    });
+    host.wait_calls(2);
+    assert_eq!((host.calls_of("one"), host.calls_of("three")), (1, 1));
+    assert!(relay.logged("damaged bytes") && relay.logged("torn tail"));
+    // What is written after the damage is read by the next process.
+    relay.take("safe", "four", 9);
+    let _relay = relay.killed(|_| agent.list("b", 9, host.address, "active"));
+    until("what came after", || (host.calls_of("four") == 1).then_some(()));
+}
+
+#[test]
+fn a_full_journal_refuses_and_the_folder_stays_within_its_limit() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    let mut config = config(agent.address);
+    config["limits"]["disk_mb"] = json!(0.5);
+    let relay = Relay::with(config, &agent);
+    let body = vec![7; 40_000];
+    let mut client = relay.client();
+    let answers: Vec<_> = (0..12).map(|n| client.hand_in("safe", &format!("m{n}"), 1, 4000, &body)).collect();
+    let taken = answers.iter().filter(|a| a.status() == 202).count();
+    assert!(taken > 2 && taken < 12, "{taken} of 12 fit");
+    let refused = answers.iter().find(|a| a.status() == 503).unwrap();
+    assert!(refused.header("Retry-After").parse::<f64>().unwrap() > 0.0);
+    // All that was taken on is delivered, and then there is room again.
+    agent.list("a", 1, host.address, "active");
+    host.wait_calls(taken);
+    for n in 12..40 {
+        until("room", || {
+            (client.hand_in("safe", &format!("m{n}"), 1, 4000, &body).status() == 202).then_some(())
+        });
+        let files = std::fs::read_dir(relay.folder.join("state")).unwrap();
+        let used: u64 = files.flatten().filter_map(|f| f.metadata().ok()).map(|m| m.len()).sum();
+        assert!(used <= 500_000, "{used} bytes");
+    }
+}
+
+#[test]
+fn more_than_max_open_is_refused() {
+    let agent = Agent::new(&[]);
+    let mut config = config(agent.address);
+    config["settings"]["Limits"]["MaxOpen"] = json!(4);
+    let relay = Relay::with(config, &agent);
+    let statuses: Vec<_> = (0..8).map(|n| relay.hand_in("safe", &format!("m{n}"), 1).status()).collect();
+    let taken: Vec<_> = (0..8).filter(|n| statuses[*n] == 202).collect();
+    assert!(taken.len() < 8 && statuses.iter().all(|s| [202, 503].contains(s)), "{statuses:?}");
+    // Each that was taken on and then had to make room was told so at once.
+    let ended = taken.iter().filter(|n| !agent.notices_of(&format!("m{n}")).is_empty()).count();
+    assert!(taken.len() - ended <= 4);
+}
+
+#[test]
+fn at_sigterm_nothing_is_taken_on_and_nothing_read_is_cut() {
+    let host = Host::new(|_, _| Reply::Late(900));
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut relay = Relay::start(&agent);
+    let mut kept = relay.client();
+    assert_eq!(kept.hand_in("unsafe", "out", 1, 4000, b"").status(), 202);
+    host.wait_calls(1);
+    relay.terminate();
+    until("the signal", || relay.logged("SIGTERM").then_some(()));
+    // On a kept connection as on a new one.
+    for client in [&mut kept, &mut relay.client()] {
+        let answer = client.hand_in("safe", "late", 1, 4000, b"");
+        assert_eq!((answer.status(), answer.header("Connection")), (503, "close"));
+        let mut rest = Vec::new();
+        assert_eq!(client.0.read_to_end(&mut rest).unwrap(), 0, "closed, with no more said");
+    }
+    let start = Instant::now();
+    assert!(relay.wait_exit().success());
+    assert!(start.elapsed() < Duration::from_millis(3700));
+    // The unsafe call that was out had its answer: nothing is owed.
+    let _relay = relay.killed(|journal| assert!(std::fs::metadata(journal).unwrap().len() > 0));
+    assert_eq!((host.calls_of("out"), host.calls_of("late")), (1, 0));
+    assert!(agent.notices_of("out").is_empty());
+}
+
+#[test]
+fn a_notice_is_sent_until_it_is_confirmed() {
+    let agent = Agent::new(&[]);
+    agent.reply_to_notices(vec![500, 503, 500]);
+    let relay = Relay::start(&agent);
+    assert_eq!(relay.client().hand_in("safe", "m", 1, 50, b"").status(), 202);
+    until("four notices", || (agent.notices_of("m").len() == 4).then_some(()));
+    // Confirmed, it is not sent again: another message's notice comes without it.
+    assert_eq!(relay.client().hand_in("safe", "n", 1, 50, b"").status(), 202);
+    agent.wait_notice("n");
+    let all = agent.notices_of("m");
+    assert_eq!((all.len(), &all[0]["status"]), (4, &json!("deferred")));
+    assert!(all[0]["again_ms"].as_u64().is_some(), "a client is told when to come back");
+}
+
+#[test]
+fn bad_requests_are_turned_away_and_the_relay_serves_on() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let good = [
+        ("X-Call-Id", "m"),
+        ("X-Caller", "acme"),
+        ("X-Budget", "900m"),
+        ("X-Envelope", "dest=1"),
+        ("Idempotency-Key", "k"),
+    ];
+    let ask = |path: &str, without: &str, with: (&str, &str), length: &str| {
+        let mut head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n");
+        for (name, value) in good.iter().filter(|h| h.0 != without && h.0 != with.0) {
+            head += &format!("{name}: {value}\r\n");
+        }
+        if !with.0.is_empty() {
+            head += &format!("{}: {}\r\n", with.0, with.1);
+        }
+        let mut client = relay.client();
+        client.send(format!("{head}\r\n").as_bytes());
+        client.answer().expect("an answer").status()
+    };
+    for missing in good.map(|h| h.0) {
+        assert_eq!(ask("/keyed", missing, ("", ""), "0"), 400, "without {missing}");
+    }
+    assert_eq!(ask("/nonsense", "", ("", ""), "0"), 404);
+    assert_eq!(ask("/", "", ("", ""), "0"), 404);
+    for bad in ["", "m", "12", "-5m", "NaNm", "1e999m", "infm", "5s", "1.2.3m", "999999999999m"] {
+        assert_eq!(ask("/safe", "", ("X-Budget", bad), "0"), 400, "budget {bad:?}");
+    }
+    for bad in ["", "dest", "dest=", "dest=x", "dest=-1", "dest=99999999999999999999"] {
+        assert_eq!(ask("/safe", "", ("X-Envelope", bad), "0"), 400, "envelope {bad:?}");
+    }
+    assert_eq!(ask("/safe", "", ("X-Caller", "stranger"), "0"), 400);
+    assert_eq!(ask("/safe", "", ("", ""), "65537"), 413);
+    assert_eq!(ask("/safe", "", ("", ""), "-4"), 400);
+    let mut client = relay.client();
+    client.send(b"\x00\xff nonsense\r\n\r\n");
+    assert_eq!(client.answer().map(|a| a.status()), Some(400));
+    let mut half = relay.client();
+    half.send(b"POST /safe HTTP/1.1\r\nX-Call-Id: half\r\nContent-Le");
+    drop(half);
+    assert!(host.heard().is_empty());
+    relay.take("safe", "good", 1);
+    host.wait_calls(1);
+}
+
+#[test]
+fn a_message_handed_in_twice_under_one_id_is_taken_on_once() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "m", 1);
+    relay.take("safe", "m", 1);
+    agent.list("a", 1, host.address, "active");
+    relay.take("safe", "n", 1);
+    host.wait_calls(2);
+    assert_eq!((host.calls_of("m"), host.calls_of("n")), (1, 1));
+}
+
+#[test]
+fn without_discovery_the_list_held_stays_in_force() {
+    let (first, second) = (Host::ok(), Host::ok());
+    let agent = Agent::new(&[]);
+    agent.set_down(true);
+    let mut config = config(agent.address);
+    config["known"]["endpoints"] = json!([{"name": "a", "address": first.address.to_string(), "zone": "z",
+        "type": "k", "group": 1, "status": "active", "weight": 1.0, "since_ms": 0}]);
+    let relay = Relay::with(config, &agent);
+    relay.take("safe", "m", 1);
+    first.wait_calls(1);
+    agent.list("b", 2, second.address, "active");
+    relay.take("safe", "n", 2);
+    agent.set_down(false);
+    second.wait_calls(1);
+    assert_eq!(second.calls_of("n"), 1);
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_is_one_plain_line() {
+    let agent = Agent::new(&[]);
+    let spoil: [&dyn Fn(&mut serde_json::Value); 4] = [
+        &|c| c["settings"]["Limits"]["MaxOpen"] = json!("many"),
+        &|c| c["settings"]["Profiles"][0]["Effect"] = json!("odd"),
+        &|c| c["listen"] = json!("nowhere"),
+        &|c| c["settings"]["Domain"]["Slots"] = json!(0),
+    ];
+    for spoil in spoil {
+        let mut config = config(agent.address);
+        spoil(&mut config);
+        let (mut command, folder) = command(&config);
+        let output = command.output().unwrap();
+        assert!(!output.status.success());
+        let log = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(log.lines().count(), 1, "{log}");
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
+
+/// A client that goes before its request is whole leaves nothing behind.
+#[test]
+fn a_client_that_leaves_mid_body_is_owed_nothing() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let mut client = relay.client();
+    let head = "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: half\r\nX-Caller: acme\r\nX-Budget: 900m\r\n\
+                X-Envelope: dest=1\r\nContent-Length: 10\r\n\r\nfive.";
+    client.send(head.as_bytes());
+    client.0.get_mut().flush().unwrap();
+    drop(client);
+    relay.take("safe", "next", 1);
+    host.wait_calls(1);
+    assert_eq!((host.calls_of("half"), agent.notices_of("half").len()), (0, 0));
+}
