Tests: a key rests after a restart, a host at a new address; one test's own race mended

Seen: what_was_taken_on_outlasts_the_process failed in 4 of 8 runs alone, waiting for a notice. Cause, in the test: it counted the notices after the restarted relay had already sent its one.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -187,11 +187,12 @@
         relay.take(class, &format!("out-{class}"), 1);
     }
     silent.wait_calls(3);
+    let mut before = 0;
     let relay = relay.killed(|_| {
+        before = agent.notices_of("unheard").len();
         agent.reply_to_notices(Vec::new());
         agent.list("c", 3, fine.address, "active");
     });
-    let before = agent.notices_of("unheard").len();
     until("the notice once more", || (agent.notices_of("unheard").len() > before).then_some(()));
     until("what was held", || (fine.calls_of("held") == 1).then_some(()));
     until("what may be repeated", || {
@@ -210,6 +211,42 @@
     assert_eq!(counts(), over);
 }
 
+/// After a restart a key rests too: the attempt that was out may still run when the next message's turn comes.
+#[test]
+fn a_key_rests_after_a_restart() {
+    let host = Host::first(vec![Reply::Silent]);
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["settings"]["Safety"]["OrderPauseMs"] = json!(800.0);
+    let relay = Relay::with(config, &agent);
+    relay.client().hand_in("ordered?about=k", "m0", 1, 4000, b"");
+    relay.client().hand_in("ordered?about=k", "m1", 1, 4000, b"");
+    host.wait_calls(1);
+    let mut killed = Instant::now();
+    let _relay = relay.killed(|_| killed = Instant::now());
+    let calls = host.wait_calls(3);
+    assert_eq!((calls[1].id(), calls[2].id()), ("m0", "m1"));
+    let rested = calls[2].at - killed;
+    assert!(rested >= Duration::from_millis(800), "the next one went after {rested:?}");
+}
+
+#[test]
+fn a_host_at_a_new_address_is_called_there() {
+    let (old, new) = (Host::ok(), Host::ok());
+    let agent = Agent::new(&[("a", 1, &old)]);
+    let relay = Relay::start(&agent);
+    old.wait_reuse(&relay, 1);
+    let watched = agent.watches();
+    agent.list("a", 1, new.address, "active");
+    until("the next watch", || (agent.watches() > watched).then_some(()));
+    let before = old.heard().len();
+    for n in 0..4 {
+        relay.take("safe", &format!("m{n}"), 1);
+    }
+    new.wait_calls(4);
+    assert_eq!(old.heard().len(), before);
+}
+
 #[test]
 fn attempts_are_counted_across_processes() {
     let host = Host::new(|_, n| if n == 2 { Reply::Silent } else { Reply::Status(500) });
