Health says 503 after SIGTERM; outages and what is held outlast a restart, with tests

/_health went on saying 200 while the relay took nothing on, so a front that asks would have sent more. Two tests: what is held at SIGTERM is delivered by the next process, and a destination that was out gets one trial after a restart, not all that is held (without the Outages event the test sees all six at once).

--- a/src/bin/mulleinslip/intake.rs
+++ b/src/bin/mulleinslip/intake.rs
@@ -104,6 +104,8 @@
         let health = request.uri().path() == "/_health";
         let mut reply = if health {
             match *request.method() {
+                // Nobody new should come here any more.
+                _ if self.stopping.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
                 Method::GET | Method::HEAD => plain(StatusCode::OK, ""),
                 _ => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only\n"),
             }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -363,6 +363,46 @@
     assert!(agent.notices_of("out").is_empty());
 }
 
+#[test]
+fn what_is_held_at_sigterm_is_for_the_next_process() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    let mut relay = Relay::start(&agent);
+    relay.client().hand_in("unsafe", "held", 1, 60_000, b"");
+    relay.terminate();
+    until("the signal", || relay.logged("SIGTERM").then_some(()));
+    let mut client = relay.client();
+    client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.answer().unwrap().status(), 503, "no new client should come");
+    let start = Instant::now();
+    assert!(relay.wait_exit().success());
+    assert!(start.elapsed() < Duration::from_millis(3700));
+    assert!(agent.notices_of("held").is_empty());
+    let _relay = relay.killed(|_| agent.list("a", 1, host.address, "active"));
+    host.wait_calls(1);
+    assert_eq!(host.calls_of("held"), 1);
+}
+
+/// A destination that was out is not sent all that was held for it by a new process that knows no better.
+#[test]
+fn an_outage_is_known_after_a_restart() {
+    let host = Host::new(|_, n| if n < 12 { Reply::Status(500) } else { Reply::Silent });
+    let fine = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host), ("b", 2, &fine)]);
+    let relay = Relay::start(&agent);
+    for n in 0..6 {
+        relay.take("safe", &format!("m{n}"), 1);
+    }
+    until("the outage", || relay.logged("destination 1 out").then_some(()));
+    let mut before = 0;
+    let relay = relay.killed(|_| before = host.heard().len());
+    // What the first round sent has come before this.
+    relay.take("safe", "marker", 2);
+    fine.wait_calls(1);
+    let after = host.heard().len() - before;
+    assert!(after <= 1, "{after} calls at once to a destination that is out");
+}
+
 #[test]
 fn a_notice_is_sent_until_it_is_confirmed() {
     let agent = Agent::new(&[]);
