SIGHUP reads the configuration again; discovery and notices move at once

Cause: main.rs had no handler for SIGHUP, whose default ends the process. Ruled out: no panic and no exit of the program's own; its log stops between two lines. The file is read and checked whole; what can't be read changes nothing and is one line in the log. discovery drops its connection, and a watch in flight with it, and fetches the whole list, as versions of two agents need not agree; notices drop theirs and send there what is not confirmed. On SIGHUP the file counts, not the environment, which is as old as the process.

Test: at_sighup_discovery_and_notices_move_to_the_address_in_the_file; without the handler the process dies in it.

--- a/src/bin/mulleinslip/config.rs
+++ b/src/bin/mulleinslip/config.rs
@@ -3,11 +3,13 @@
 use linenhall::{Class, Effect, Endpoint, Fade, Group, Listed, Settings, WeightMeaning};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// All that the relay is told, checked.
 pub struct Config {
+    /// The configuration's file, to be read again at SIGHUP.
+    pub file: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -290,36 +292,58 @@
     })
 }
 
-fn address(what: &str, env: &str, file: Option<&String>) -> Result<SocketAddr, String> {
+fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what} cannot be read: {text}"))
+}
+
+/// An address from the environment, or else from the configuration.
+fn told(what: &str, env: &str, file: Option<&String>) -> Result<SocketAddr, String> {
     let text = std::env::var(env).ok().or_else(|| file.cloned());
     let text =
         text.ok_or_else(|| format!("{what} is missing: neither {env} nor the configuration has it"))?;
-    text.parse().map_err(|_| format!("{what} cannot be read: {text}"))
+    address(what, &text)
 }
 
-/// Reads the environment and the configuration that it names. The error is one line for the log.
-pub fn read() -> Result<Config, String> {
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("configuration {path}: {e}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| format!("configuration {path}: {e}"))?;
-    let s = &file.settings;
-    let millis = s.limits.connect_timeout_ms;
+/// Reads and checks the file.
+fn load(path: &Path) -> Result<(File, Settings), String> {
+    let named = |e: &dyn std::fmt::Display| format!("configuration {}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| named(&e))?;
+    let file: File = serde_json::from_str(&text).map_err(|e| named(&e))?;
+    let millis = file.settings.limits.connect_timeout_ms;
     if !(millis > 0.0 && millis < 1e9) {
         return Err(format!("setting Limits.ConnectTimeoutMs cannot be read: {millis}"));
     }
     if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e6) {
         return Err(format!("limits.disk_mb cannot be read: {}", file.limits.disk_mb));
     }
+    let settings = settings(&file.settings)?;
+    Ok((file, settings))
+}
+
+/// The address of discovery in the file as it stands now. The environment does not count: it is as old as the
+/// process. Nothing of a file that can't be read whole is taken over.
+pub fn discovery_now(path: &Path) -> Result<SocketAddr, String> {
+    let (file, _) = load(path)?;
+    address("discovery", &file.discovery.ok_or("discovery is missing in the configuration")?)
+}
+
+/// Reads the environment and the configuration that it names. The error is one line for the log.
+pub fn read() -> Result<Config, String> {
+    let path: PathBuf = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into();
+    let (file, settings) = load(&path)?;
+    let s = &file.settings;
+    let millis = s.limits.connect_timeout_ms;
     let state = std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?;
     Ok(Config {
+        file: path,
         name: std::env::var("ROUTER_NAME").unwrap_or(file.name),
-        listen: address("listen", "ROUTER_LISTEN", file.listen.as_ref())?,
-        discovery: address("discovery", "ROUTER_DISCOVERY", file.discovery.as_ref())?,
+        listen: told("listen", "ROUTER_LISTEN", file.listen.as_ref())?,
+        discovery: told("discovery", "ROUTER_DISCOVERY", file.discovery.as_ref())?,
         state: state.into(),
         seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
         sockets: file.limits.sockets,
         disk_bytes: (file.limits.disk_mb * 1e6) as u64,
-        settings: settings(s)?,
+        settings,
         names: Names {
             classes: s.profiles.iter().map(|p| p.name.clone()).collect(),
             tenants: s.orgs.iter().map(|o| o.name.clone()).collect(),
--- a/src/bin/mulleinslip/discovery.rs
+++ b/src/bin/mulleinslip/discovery.rs
@@ -1,4 +1,5 @@
-//! The list of hosts: fetched once, then watched without a gap. On a failure the list held stays in force.
+//! The list of hosts: fetched once, then watched without a gap. On a failure the list held stays in force. The
+//! agent may move: from then on the new one is asked, and first for the whole list.
 
 use crate::config::List;
 use crate::conn::{backoff, bytes, Conn};
@@ -7,7 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// How long one watch may wait. Short, as an agent that has fallen silent shows only when this is over.
 const WATCH: Duration = Duration::from_millis(5000);
@@ -51,11 +53,26 @@
         serde_json::from_slice(&body).map_err(|e| format!("a list that can't be read: {e}"))
     }
 
-    /// Tells all news for good. `index` is the version held, if a list was fetched already.
-    pub async fn watch(mut self, mut index: Option<u64>, news: UnboundedSender<Happened>) {
+    /// Tells all news for good. `index` is the version held, if a list was fetched already; `place` is where
+    /// the agent is.
+    pub async fn watch(
+        mut self, mut index: Option<u64>, mut place: watch::Receiver<SocketAddr>,
+        news: UnboundedSender<Happened>,
+    ) {
         let mut failures = 0u32;
         loop {
-            match self.ask(index).await {
+            let address = *place.borrow_and_update();
+            if address != self.address {
+                // A watch in flight went with its connection. The versions of two agents need not agree.
+                self = Discovery::new(address);
+                (index, failures) = (None, 0);
+            }
+            let asked = tokio::select! {
+                biased;
+                Ok(()) = place.changed() => continue,
+                asked = self.ask(index) => asked,
+            };
+            match asked {
                 Ok(list) => {
                     if failures > 0 {
                         eprintln!("mulleinslip: discovery is back");
@@ -70,7 +87,7 @@
                     if failures == 0 {
                         eprintln!("mulleinslip: discovery: {e}; the list held stays in force");
                     }
-                    sleep(backoff(failures, RETRY_MS)).await;
+                    let _moved_or_not = timeout(backoff(failures, RETRY_MS), place.changed()).await;
                     failures = failures.saturating_add(1);
                 }
             }
--- a/src/bin/mulleinslip/main.rs
+++ b/src/bin/mulleinslip/main.rs
@@ -51,7 +51,9 @@
 
 async fn serve(config: Config) -> Result<(), String> {
     let clock = Clock::start();
+    // Before anything that takes time: without a handler a signal ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let opened = journal::Journal::open(config.state.clone(), config.disk_bytes);
     let (journal, left) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     left.notes.iter().for_each(|note| eprintln!("mulleinslip: {note}"));
@@ -74,8 +76,21 @@
     let index = first.as_ref().ok().map(|list| list.index);
     driver.restore([Some(config.known), first.ok()].into_iter().flatten().collect(), left);
 
-    spawn_local(notices::run(config.discovery, notices_inbox, events.clone()));
-    spawn_local(agent.watch(index, events.clone()));
+    let (moved, place) = watch::channel(config.discovery);
+    spawn_local(notices::run(place.clone(), notices_inbox, events.clone()));
+    spawn_local(agent.watch(index, place, events.clone()));
+    let file = config.file;
+    spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match config::discovery_now(&file) {
+                Ok(address) => {
+                    eprintln!("mulleinslip: SIGHUP; discovery and notices at {address}");
+                    moved.send_if_modified(|at| std::mem::replace(at, address) != address);
+                }
+                Err(e) => eprintln!("mulleinslip: SIGHUP; nothing changed: {}", e.replace('\n', " ")),
+            }
+        }
+    });
     spawn_local(async move { calls.sweep().await });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
--- a/src/bin/mulleinslip/notices.rs
+++ b/src/bin/mulleinslip/notices.rs
@@ -1,5 +1,5 @@
 //! Notices to the platform: how a message ended that was taken on and not delivered. Each is sent at once and
-//! again until it is answered 204; one for a message that is over does no harm.
+//! again until it is answered 204, to where the platform is now; one for a message that is over does no harm.
 
 use crate::conn::{backoff, bytes, Conn};
 use crate::driver::Happened;
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 const WITHIN: Duration = Duration::from_millis(500);
 const RETRY_MS: (u64, u64) = (20, 500);
@@ -49,7 +50,11 @@
 }
 
 /// Sends what comes in, for good.
-pub async fn run(to: SocketAddr, mut inbox: UnboundedReceiver<Notice>, done: UnboundedSender<Happened>) {
+pub async fn run(
+    mut place: watch::Receiver<SocketAddr>, mut inbox: UnboundedReceiver<Notice>,
+    done: UnboundedSender<Happened>,
+) {
+    let mut to = *place.borrow_and_update();
     let mut conn = None;
     let mut waiting: Vec<Notice> = Vec::new();
     // After a 400 the notices go one by one, so that one that can't be read holds up no other.
@@ -65,9 +70,19 @@
         while let Ok(notice) = inbox.try_recv() {
             waiting.push(notice);
         }
+        let address = *place.borrow_and_update();
+        if address != to {
+            // What is not confirmed is owed there.
+            (to, conn, failures) = (address, None, 0);
+        }
         let count = waiting.len().min(most);
         let body: String = waiting[..count].iter().map(Notice::line).collect();
-        match post(&mut conn, to, body).await {
+        let posted = tokio::select! {
+            biased;
+            Ok(()) = place.changed() => continue,
+            posted = post(&mut conn, to, body) => posted,
+        };
+        match posted {
             Ok(StatusCode::BAD_REQUEST) if count > 1 => most = 1,
             Ok(status) if status == StatusCode::NO_CONTENT || status == StatusCode::BAD_REQUEST => {
                 if status == StatusCode::BAD_REQUEST {
@@ -84,7 +99,7 @@
                     let why = other.map_or_else(|e| e, |status| format!("answer {status}"));
                     eprintln!("mulleinslip: notices: {why}; they are sent again");
                 }
-                sleep(backoff(failures, RETRY_MS)).await;
+                let _moved_or_not = timeout(backoff(failures, RETRY_MS), place.changed()).await;
                 failures = failures.saturating_add(1);
             }
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -535,3 +535,44 @@
     host.wait_calls(1);
     assert_eq!((host.calls_of("half"), agent.notices_of("half").len()), (0, 0));
 }
+
+/// SIGHUP, with a watch in flight and a notice that the old address does not confirm: both move at once. The new
+/// agent's versions are lower than the old one's, so only the whole list can bring its hosts.
+#[test]
+fn at_sighup_discovery_and_notices_move_to_the_address_in_the_file() {
+    let (host, old_host) = (Host::ok(), Host::ok());
+    let old = Agent::new(&[]);
+    (0..5).for_each(|_| old.list("gone", 2, old_host.address, "active"));
+    old.reply_to_notices(vec![500; 10_000]);
+    let mut config = config(old.address);
+    let relay = Relay::with(config.clone(), &old);
+    until("a watch", || (old.watches() > 0).then_some(()));
+    assert_eq!(relay.client().hand_in("safe", "ended", 1, 30, b"").status(), 202);
+    old.wait_notice("ended");
+    let file = relay.folder.join("config.json");
+    // What can't be read changes nothing, and is told in one line.
+    let good = config.to_string();
+    for bad in [&good[..good.len() / 2], &good.replace(&old.address.to_string(), "nowhere")] {
+        std::fs::write(&file, bad).unwrap();
+        let lines = relay.log_lines("nothing changed");
+        relay.signal("HUP");
+        until("the line", || (relay.log_lines("nothing changed") == lines + 1).then_some(()));
+    }
+    let asked = old.notices_of("ended").len();
+    until("the old address still", || (old.notices_of("ended").len() > asked).then_some(()));
+
+    let new = Agent::new(&[("a", 1, &host)]);
+    config["discovery"] = json!(new.address.to_string());
+    std::fs::write(&file, config.to_string()).unwrap();
+    relay.signal("HUP");
+    new.wait_notice("ended");
+    until("a watch there", || (new.watches() > 0).then_some(()));
+    relay.take("safe", "m", 1);
+    host.wait_calls(1);
+    // What comes there is watched too, and nothing goes to the old address any more.
+    let over = (old.watches(), old.notices_of("ended").len());
+    new.list("b", 3, host.address, "active");
+    relay.take("safe", "n", 3);
+    host.wait_calls(2);
+    assert_eq!(over, (old.watches(), old.notices_of("ended").len()));
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -380,11 +380,19 @@
         Relay::run(command_in(&self.folder), std::mem::take(&mut self.folder), self.agent)
     }
 
-    pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+    pub fn log_lines(&self, words: &str) -> usize {
+        self.log.lock().unwrap().iter().filter(|l| l.contains(words)).count()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
     pub fn wait_exit(&mut self) -> ExitStatus {
         until("the relay's end", || self.child.try_wait().unwrap())
     }
