Clients: silent ones are let go after 2 s, each request has one deadline, ambiguous lengths are refused

A place was taken before a connection was accepted and given back after 30 s of silence (intake.rs, HEAD and serve), so new connections waited in the backlog. Ruled out: CPU (0.15 s in the busiest second), descriptors (156 of 256), the hosts (a quarter of a second to the first attempt is before any call). Seen with bad clients: 164 of 656 left with neither word nor close for the same reason; 22 of their messages taken on, 117 requests of theirs at hosts: destinations in no list and ids of requests still being decided.

Mend: clients.rs holds the connections. 2.05 s of silence or 0.8 s over one request close it; with all places taken the longest idle one goes; places come from one descriptor budget. hyper drops Content-Length where Transfer-Encoding stands (read in its role.rs, in either order), so a thin wrapper on the socket frames each head: two lengths, odd ones and encodings other than chunked are answered 400 and closed, and after a body in chunks the connection closes. A 4xx closes. driver: a destination in no list is answered 503 with Retry-After (it still counts for one deadline after its last host left); a second request under an id still being decided is refused; owed messages are counted, not walked, and those that wait for a notice are bounded and give up their body. Ids and keys are visible ASCII, as they go on in headers.

Tests that held messages by an unlisted destination now list one that is draining.

--- a/src/bin/mulleinslip/calls.rs
+++ b/src/bin/mulleinslip/calls.rs
@@ -63,6 +63,8 @@
 #[derive(Default)]
 struct State {
     hosts: HashMap<String, Host>,
+    /// Destinations of the list, and until when one that is no longer in it still counts.
+    dests: HashMap<u64, Option<Instant>>,
     waits: HashMap<Lane, Instant>,
     open: usize,
 }
@@ -79,6 +81,8 @@
     apart: Vec<bool>,
     columns: Vec<String>,
     most_open: usize,
+    /// For so long a destination without hosts may yet get one in time for what is taken on for it.
+    replaced_within: Duration,
 }
 
 /// A connection counts as open for as long as this lives, also while it is being set up.
@@ -103,6 +107,7 @@
         config: &Config, most_open: usize, clock: Clock, journal: Rc<RefCell<Journal>>,
         events: UnboundedSender<Happened>,
     ) -> Calls {
+        let longest = config.settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
         let idle = Duration::from_secs_f64(config.settings.conn_idle_ms.clamp(0.0, 1e9) / 1000.0);
         Calls {
             state: RefCell::default(),
@@ -115,6 +120,7 @@
             apart: config.settings.apart.clone(),
             columns: config.report_columns.clone(),
             most_open,
+            replaced_within: Duration::from_secs_f64(longest.clamp(0.0, 1e9) / 1000.0),
         }
     }
 
@@ -140,6 +146,15 @@
             }
             (host.address, host.dest, host.apart) = (e.address, e.group, apart);
         }
+        let State { hosts, dests, .. } = &mut *state;
+        let until = Instant::now() + self.replaced_within;
+        dests.values_mut().for_each(|gone| *gone = Some(gone.unwrap_or(until)));
+        dests.extend(hosts.values().map(|h| (h.dest, None)));
+    }
+
+    /// Whether a destination has hosts, or had some so lately that others may follow.
+    pub fn knows(&self, dest: u64) -> bool {
+        self.state.borrow().dests.contains_key(&dest)
     }
 
     pub fn close_idle(&self, endpoint: &str) {
@@ -158,6 +173,7 @@
                 host.idle.retain(|(since, conn)| now - *since < self.idle && conn.usable());
             }
             state.waits.retain(|_, until| *until > now);
+            state.dests.retain(|_, gone| gone.is_none_or(|until| until > now));
         }
     }
 
--- a/src/bin/mulleinslip/driver.rs
+++ b/src/bin/mulleinslip/driver.rs
@@ -21,6 +21,9 @@
 const ROUND: usize = 256;
 /// When to come again, for a message that is turned away before the module sees it.
 const COME_AGAIN_MS: f64 = 500.0;
+/// Notices that may wait for the platform while messages are still taken on: at the busiest, minutes of them.
+/// Each takes some hundred bytes, here and in the journal.
+const MOST_UNCONFIRMED: usize = 4096;
 /// From SIGTERM on: no call is out any more at this time, as SIGKILL may come at 3.7 s.
 const CALLS_END_MS: f64 = 3500.0;
 /// Connections go on coming for up to 0.4 s.
@@ -96,6 +99,9 @@
     calls: Rc<Calls>,
     notices: UnboundedSender<Notice>,
     open: HashMap<u64, Open>,
+    /// How many of them are not over, and how many wait for their notice.
+    owed: usize,
+    unconfirmed: usize,
     /// Ids on the socket of what is open.
     by_call_id: HashMap<String, u64>,
     next_id: u64,
@@ -120,6 +126,8 @@
             calls,
             notices,
             open: HashMap::new(),
+            owed: 0,
+            unconfirmed: 0,
             by_call_id: HashMap::new(),
             next_id: 1,
             timers: BinaryHeap::new(),
@@ -157,6 +165,7 @@
             noticed: false,
         };
         self.open.insert(id, open);
+        self.owed += 1;
         // Given up already: only its notice is still owed. So is that of a class that is no more.
         let class = place(&self.names.classes, &taken.class);
         let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
@@ -258,13 +267,16 @@
             // The client is gone without an answer, and its message with it.
             return;
         }
-        if self.by_call_id.contains_key(&handed.call_id) {
+        let known = self.by_call_id.get(&handed.call_id);
+        let deciding = known.is_some_and(|id| asking.iter().any(|a| a.id == *id));
+        if known.is_some() && !deciding {
             // The same message once more: it is taken on already.
             let _gone = answer.send(Answer::Taken);
             return;
         }
-        let owed = self.open.values().filter(|o| !o.over).count();
-        if self.stopping.is_some() || owed >= self.settings.max_open {
+        let full = self.owed >= self.settings.max_open || self.unconfirmed >= MOST_UNCONFIRMED;
+        // A destination in no list may be one that is not listed yet.
+        if deciding || full || self.stopping.is_some() || !self.calls.knows(handed.dest) {
             let _gone = answer.send(Answer::Refused { retry_after_ms: Some(COME_AGAIN_MS) });
             return;
         }
@@ -295,6 +307,7 @@
         };
         self.by_call_id.insert(handed.call_id, id);
         self.open.insert(id, open);
+        self.owed += 1;
         events.push(Event::Request {
             id,
             class: handed.class,
@@ -310,7 +323,9 @@
         let End { outcome, settled, wait_ms, report } = end;
         if let Some(open) = self.open.get_mut(&id) {
             open.out.remove(&attempt);
-            open.over |= settled;
+            if settled {
+                self.owed -= usize::from(!std::mem::replace(&mut open.over, true));
+            }
             if settled && !open.noticed {
                 self.close(id);
             } else {
@@ -375,6 +390,8 @@
     /// A message that was not taken on: whatever the module wants done for it is not done.
     fn drop_unowed(&mut self, id: u64) {
         if let Some(open) = self.open.remove(&id) {
+            self.owed -= usize::from(!open.over);
+            self.unconfirmed -= usize::from(open.noticed);
             self.by_call_id.remove(&open.call_id);
         }
     }
@@ -443,14 +460,17 @@
 
     fn give_notice(&mut self, id: u64, verdict: Verdict) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        (open.over, open.noticed) = (true, true);
+        self.owed -= usize::from(!std::mem::replace(&mut open.over, true));
+        self.unconfirmed += usize::from(!std::mem::replace(&mut open.noticed, true));
+        // It is not sent again, and a notice may wait for long.
+        open.body = Bytes::new();
         let notice = Notice { id, call_id: open.call_id.clone(), verdict };
         let _stopped = self.notices.send(notice);
     }
 
     fn noticed(&mut self, id: u64) {
         if let Some(open) = self.open.get_mut(&id) {
-            open.noticed = false;
+            self.unconfirmed -= usize::from(std::mem::replace(&mut open.noticed, false));
         }
         self.close(id);
     }
--- a/src/bin/mulleinslip/intake.rs
+++ b/src/bin/mulleinslip/intake.rs
@@ -1,32 +1,25 @@
-//! Clients: reads and checks what they hand in, and answers at once. Nothing here trusts what it reads.
+//! What clients hand in: reads and checks it, and answers at once. Nothing here trusts what it reads.
 
+use crate::clients::Guest;
 use crate::config::Names;
 use crate::conn::{bytes, collect, Body};
 use crate::driver::Happened;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use linenhall::{Class, Effect};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::oneshot;
 
 const MOST_BODY: usize = 64 * 1024;
+/// The longest id or key; those in use have 32 characters.
 const MOST_ID: usize = 256;
-/// A client that takes longer for a head, or leaves its connection idle for longer, is let go.
-const HEAD: Duration = Duration::from_secs(30);
-const BODY: Duration = Duration::from_secs(5);
-/// The longest budget that is believed.
-const MOST_BUDGET_MS: f64 = 86_400_000.0;
+/// A body that is late is answered so long before its connection would be closed.
+const BODY_MARGIN: Duration = Duration::from_millis(200);
 
 /// A message as a client hands it in, checked.
 pub struct Handed {
@@ -57,7 +50,6 @@
     pub events: UnboundedSender<Happened>,
     /// After SIGTERM nothing new is taken on, and connections are not kept.
     pub stopping: Cell<bool>,
-    pub most_connections: usize,
 }
 
 type Reply = Response<Body>;
@@ -65,42 +57,8 @@
 type Bad = (StatusCode, &'static str);
 
 impl Intake {
-    /// Accepts connections for good. `close` ends those that stand idle.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
-        let places = Arc::new(Semaphore::new(self.most_connections));
-        loop {
-            let Ok(place) = places.clone().acquire_owned().await else { return };
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    eprintln!("mulleinslip: accept: {e}");
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                    continue;
-                }
-            };
-            let _slower_without = stream.set_nodelay(true);
-            let (intake, mut close) = (self.clone(), close.clone());
-            tokio::task::spawn_local(async move {
-                let _place = place;
-                let service = service_fn(|request| intake.request(request));
-                let mut server = http1::Builder::new();
-                server.timer(TokioTimer::new()).header_read_timeout(HEAD).max_buf_size(MOST_BODY);
-                let mut conn = std::pin::pin!(server.serve_connection(TokioIo::new(stream), service));
-                // What comes after idle connections were closed may be a request that crossed the close, sent
-                // once more: it is answered, not closed on.
-                let late = *close.borrow();
-                tokio::select! {
-                    _client_gone = conn.as_mut() => return,
-                    Ok(_) = close.wait_for(|close| *close), if !late => {}
-                }
-                // Ends it after the request that has been read, or at once if there is none.
-                conn.as_mut().graceful_shutdown();
-                let _client_gone = conn.await;
-            });
-        }
-    }
-
-    async fn request(&self, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    pub async fn request(&self, request: Request<Incoming>, guest: &Guest) -> Result<Reply, Infallible> {
+        guest.reading();
         let health = request.uri().path() == "/_health";
         let mut reply = if health {
             match *request.method() {
@@ -110,12 +68,17 @@
                 _ => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only\n"),
             }
         } else {
-            match self.read(request).await {
-                Ok(handed) => self.hand_in(handed).await,
+            match self.read(request, guest).await {
+                Ok(handed) => {
+                    guest.answering();
+                    self.hand_in(handed).await
+                }
                 Err((status, why)) => plain(status, why),
             }
         };
-        if self.stopping.get() {
+        guest.idle();
+        // Whoever sends what can't be taken has to connect again to send more.
+        if self.stopping.get() || guest.ends() || reply.status().is_client_error() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
@@ -134,8 +97,11 @@
     }
 
     /// Reads a request whole and checks it.
-    async fn read(&self, request: Request<Incoming>) -> Result<Handed, Bad> {
+    async fn read(&self, request: Request<Incoming>, guest: &Guest) -> Result<Handed, Bad> {
         const BAD: StatusCode = StatusCode::BAD_REQUEST;
+        if guest.ambiguous() {
+            return Err((BAD, "the length can be read in two ways\n"));
+        }
         let (head, body) = request.into_parts();
         if head.method != Method::POST {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "POST only\n"));
@@ -144,7 +110,7 @@
         let class = self.names.classes.iter().position(|c| c == class);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class\n"))?;
         let kind = &self.classes[class];
-        let call_id = text(&head.headers, "X-Call-Id").filter(|id| !id.is_empty() && id.len() <= MOST_ID);
+        let call_id = text(&head.headers, "X-Call-Id").filter(|id| is_id(id));
         let call_id = call_id.ok_or((BAD, "X-Call-Id is missing or can't be read\n"))?.to_string();
         let tenant = match text(&head.headers, "X-Caller") {
             _ if self.names.tenants.is_empty() => Some(0),
@@ -153,19 +119,25 @@
         };
         let tenant = tenant.ok_or((BAD, "X-Caller is missing or unknown\n"))?;
         let budget_ms = text(&head.headers, "X-Budget").and_then(budget);
-        let budget_ms = budget_ms.ok_or((BAD, "X-Budget is missing or can't be read\n"))?;
+        // No message is of use for longer than its class says.
+        let budget_ms =
+            budget_ms.ok_or((BAD, "X-Budget is missing or can't be read\n"))?.min(kind.deadline_ms);
         let dest = text(&head.headers, "X-Envelope").and_then(dest);
         let dest = dest.ok_or((BAD, "X-Envelope is missing or has no dest\n"))?;
-        let idempotency_key =
-            head.headers.get("Idempotency-Key").map(|v| Bytes::copy_from_slice(v.as_bytes()));
-        if kind.effect == Effect::Keyed && idempotency_key.as_ref().is_none_or(|k| k.is_empty()) {
-            return Err((BAD, "Idempotency-Key is missing\n"));
+        let key = text(&head.headers, "Idempotency-Key").filter(|key| is_id(key));
+        if kind.effect == Effect::Keyed && key.is_none() {
+            return Err((BAD, "Idempotency-Key is missing or can't be read\n"));
         }
+        let idempotency_key = key.map(|key| Bytes::copy_from_slice(key.as_bytes()));
         let order_key = order_key(head.uri.query().unwrap_or("")).filter(|_| kind.in_order);
+        if order_key.as_ref().is_some_and(|key| key.len() > MOST_ID) {
+            return Err((BAD, "the key is too long\n"));
+        }
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"));
         }
-        let body = tokio::time::timeout(BODY, collect(body, MOST_BODY)).await;
+        let within = guest.deadline() - BODY_MARGIN;
+        let body = tokio::time::timeout_at(within.into(), collect(body, MOST_BODY)).await;
         let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))?;
         let body = body.map_err(|too_long| match too_long {
             true => (StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"),
@@ -208,7 +180,12 @@
     };
     let digits = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let number = number.parse::<f64>().ok().filter(|_| digits)? / per_ms;
-    (number.is_finite() && number <= MOST_BUDGET_MS).then_some(number)
+    number.is_finite().then_some(number)
+}
+
+/// What may stand as an id in a header that is passed on, in the journal and in a notice.
+fn is_id(text: &str) -> bool {
+    !text.is_empty() && text.len() <= MOST_ID && text.bytes().all(|b| b.is_ascii_graphic())
 }
 
 /// The number after `dest=`.
--- a/src/bin/mulleinslip/main.rs
+++ b/src/bin/mulleinslip/main.rs
@@ -1,6 +1,7 @@
 //! mulleinslip, the relay on real sockets. Here: the order in which its parts start, and signals.
 
 mod calls;
+mod clients;
 mod config;
 mod conn;
 mod discovery;
@@ -24,8 +25,10 @@
 const FIRST_LIST: Duration = Duration::from_millis(400);
 /// From SIGTERM until idle client connections are closed: until then new ones may come.
 const KEEP_LISTENING: Duration = Duration::from_millis(450);
-/// Descriptors for all that is not a connection of a client or to a host.
-const OTHER_DESCRIPTORS: usize = 64;
+/// Descriptors for all that is not a connection of a client or to a host: standard streams 3, event loop and
+/// signals 5, listener and one more client than there are places 2, journal 2, discovery 2, notices 2, the
+/// configuration 1; the rest is room for what the runtime may need.
+const OTHER_DESCRIPTORS: usize = 32;
 
 fn main() -> ExitCode {
     // A task that panics would leave its message without an end and nobody the wiser; a process that ends
@@ -100,10 +103,11 @@
         classes: config.settings.classes.clone(),
         events: events.clone(),
         stopping: Cell::new(false),
-        most_connections: connections,
     });
+    let clients = clients::Clients::new(intake.clone(), connections);
     let (close_idle, close) = watch::channel(false);
-    spawn_local(intake.clone().serve(listener, close));
+    spawn_local(clients.clone().sweep());
+    spawn_local(clients.serve(listener, close));
     spawn_local(async move {
         terminate.recv().await;
         eprintln!("mulleinslip: SIGTERM; taking on nothing more");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -175,12 +175,13 @@
     let silent = Host::new(|_, n| if n < 3 { Reply::Silent } else { Reply::Status(200) });
     let fine = Host::ok();
     let agent = Agent::new(&[("a", 1, &silent), ("b", 2, &fine)]);
+    agent.hold(3);
     agent.reply_to_notices(vec![500; 10_000]);
     let relay = Relay::start(&agent);
     relay.take("safe", "ended", 2);
     fine.wait_calls(1);
     relay.take("safe", "held", 3);
-    // In one message's short time there is no host for it: given up, and its notice fails.
+    // In one message's short time nobody takes it: given up, and its notice fails.
     assert_eq!(relay.client().hand_in("safe", "unheard", 3, 30, b"").status(), 202);
     agent.wait_notice("unheard");
     for class in ["safe", "keyed", "unsafe"] {
@@ -191,7 +192,7 @@
     let relay = relay.killed(|_| {
         before = agent.notices_of("unheard").len();
         agent.reply_to_notices(Vec::new());
-        agent.list("c", 3, fine.address, "active");
+        agent.list("draining-3", 3, fine.address, "active");
     });
     until("the notice once more", || (agent.notices_of("unheard").len() > before).then_some(()));
     until("what was held", || (fine.calls_of("held") == 1).then_some(()));
@@ -265,6 +266,7 @@
 #[test]
 fn overdue_messages_end_at_the_restart() {
     let agent = Agent::new(&[]);
+    agent.hold(1);
     let relay = Relay::start(&agent);
     assert_eq!(relay.client().hand_in("safe", "m", 1, 300, b"").status(), 202);
     let _relay = relay.killed(|_| std::thread::sleep(Duration::from_millis(400)));
@@ -275,6 +277,8 @@
 fn a_torn_tail_and_a_damaged_record_cost_only_themselves() {
     let host = Host::ok();
     let agent = Agent::new(&[]);
+    agent.hold(1);
+    agent.hold(9);
     let relay = Relay::start(&agent);
     for id in ["one", "two", "three"] {
         relay.take("safe", id, 1);
@@ -300,6 +304,7 @@
 fn a_full_journal_refuses_and_the_folder_stays_within_its_limit() {
     let host = Host::ok();
     let agent = Agent::new(&[]);
+    agent.hold(1);
     let mut config = config(agent.address);
     config["limits"]["disk_mb"] = json!(0.5);
     let relay = Relay::with(config, &agent);
@@ -326,6 +331,7 @@
 #[test]
 fn more_than_max_open_is_refused() {
     let agent = Agent::new(&[]);
+    agent.hold(1);
     let mut config = config(agent.address);
     config["settings"]["Limits"]["MaxOpen"] = json!(4);
     let relay = Relay::with(config, &agent);
@@ -367,7 +373,10 @@
 fn what_is_held_at_sigterm_is_for_the_next_process() {
     let host = Host::ok();
     let agent = Agent::new(&[]);
-    let mut relay = Relay::start(&agent);
+    agent.hold(1);
+    let mut config = config(agent.address);
+    config["settings"]["Profiles"][2]["DeadlineMs"] = json!(60_000.0);
+    let mut relay = Relay::with(config, &agent);
     relay.client().hand_in("unsafe", "held", 1, 60_000, b"");
     relay.terminate();
     until("the signal", || relay.logged("SIGTERM").then_some(()));
@@ -406,6 +415,7 @@
 #[test]
 fn a_notice_is_sent_until_it_is_confirmed() {
     let agent = Agent::new(&[]);
+    agent.hold(1);
     agent.reply_to_notices(vec![500, 503, 500]);
     let relay = Relay::start(&agent);
     assert_eq!(relay.client().hand_in("safe", "m", 1, 50, b"").status(), 202);
@@ -447,7 +457,7 @@
     }
     assert_eq!(ask("/nonsense", "", ("", ""), "0"), 404);
     assert_eq!(ask("/", "", ("", ""), "0"), 404);
-    for bad in ["", "m", "12", "-5m", "NaNm", "1e999m", "infm", "5s", "1.2.3m", "999999999999m"] {
+    for bad in ["", "m", "12", "-5m", "NaNm", "1e999m", "infm", "5s", "1.2.3m", "1e3m"] {
         assert_eq!(ask("/safe", "", ("X-Budget", bad), "0"), 400, "budget {bad:?}");
     }
     for bad in ["", "dest", "dest=", "dest=x", "dest=-1", "dest=99999999999999999999"] {
@@ -471,6 +481,7 @@
 fn a_message_handed_in_twice_under_one_id_is_taken_on_once() {
     let host = Host::ok();
     let agent = Agent::new(&[]);
+    agent.hold(1);
     let relay = Relay::start(&agent);
     relay.take("safe", "m", 1);
     relay.take("safe", "m", 1);
@@ -492,8 +503,9 @@
     relay.take("safe", "m", 1);
     first.wait_calls(1);
     agent.list("b", 2, second.address, "active");
-    relay.take("safe", "n", 2);
+    assert_eq!(relay.hand_in("safe", "early", 2).status(), 503, "in no list that the relay has");
     agent.set_down(false);
+    relay.take_once_listed("safe", "n", 2);
     second.wait_calls(1);
     assert_eq!(second.calls_of("n"), 1);
 }
@@ -543,6 +555,7 @@
     let (host, old_host) = (Host::ok(), Host::ok());
     let old = Agent::new(&[]);
     (0..5).for_each(|_| old.list("gone", 2, old_host.address, "active"));
+    old.hold(1);
     old.reply_to_notices(vec![500; 10_000]);
     let mut config = config(old.address);
     let relay = Relay::with(config.clone(), &old);
@@ -572,7 +585,128 @@
     // What comes there is watched too, and nothing goes to the old address any more.
     let over = (old.watches(), old.notices_of("ended").len());
     new.list("b", 3, host.address, "active");
-    relay.take("safe", "n", 3);
+    relay.take_once_listed("safe", "n", 3);
     host.wait_calls(2);
     assert_eq!(over, (old.watches(), old.notices_of("ended").len()));
 }
+
+/// A head with the given lines of length, for raw clients.
+fn head(id: &str, dest: u64, lengths: &str) -> String {
+    format!(
+        "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id}\r\nX-Caller: acme\r\nX-Budget: 900m\r\n\
+         X-Envelope: dest={dest}\r\n{lengths}\r\n"
+    )
+}
+
+/// Where two lengths are given, or one that is none, the body may hide another request: neither is taken, and
+/// nothing that follows. Taking the hidden one on would let a client send what no client handed in.
+#[test]
+fn a_length_that_can_be_read_in_two_ways_is_refused_with_all_that_follows() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let hidden = head("hidden", 1, "Content-Length: 0\r\n");
+    let (length, chunks) =
+        (format!("Content-Length: {}\r\n", hidden.len() + 5), "Transfer-Encoding: chunked\r\n");
+    let bodies = [
+        // By its length the body is all that follows; by its chunks it is empty, and a request follows.
+        (format!("{length}{chunks}"), format!("0\r\n\r\n{hidden}")),
+        (format!("{chunks}{length}"), format!("0\r\n\r\n{hidden}")),
+        (format!("Content-Length: 0\r\n{length}"), hidden.clone()),
+        ("Content-Length: 0\r\nContent-Length: 0\r\n".into(), hidden.clone()),
+        ("Content-Length: +0\r\n".into(), hidden.clone()),
+        ("Content-Length: 0, 0\r\n".into(), hidden.clone()),
+        ("Content-Length: 99999999999999999999\r\n".into(), hidden.clone()),
+        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n".into(), format!("0\r\n\r\n{hidden}")),
+        ("Transfer-Encoding: gzip, chunked\r\n".into(), format!("0\r\n\r\n{hidden}")),
+        // No header at all to some readers.
+        ("Transfer-Encoding : chunked\r\n".into(), format!("0\r\n\r\n{hidden}")),
+    ];
+    for (row, (lengths, rest)) in bodies.iter().enumerate() {
+        // Also in two pieces, cut within the head.
+        for cut in [0, 60] {
+            let mut client = relay.client();
+            let text = head(&format!("outer-{row}-{cut}"), 1, lengths) + rest;
+            let (first, second) = text.split_at(cut);
+            client.send(first.as_bytes());
+            client.send(second.as_bytes());
+            let answer = client.answer().expect("an answer");
+            assert!((400..500).contains(&answer.status()), "row {row}: {answer:?}");
+            let mut more = Vec::new();
+            let _reset_or_end = client.0.read_to_end(&mut more);
+            assert!(more.is_empty(), "row {row}: closed, with no further answer");
+        }
+    }
+    relay.take("safe", "last", 1);
+    host.wait_calls(1);
+    assert_eq!(host.heard().iter().map(|h| h.id().to_string()).collect::<Vec<_>>(), ["last"]);
+}
+
+/// A client that says nothing, stops half way, or has been served and stays, is let go; one that asks within its
+/// time is served on the connection that it has.
+#[test]
+fn silent_and_slow_clients_are_let_go() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    let good = head("half", 1, "Content-Length: 10\r\n") + "five.";
+    for sent in ["", "\r\n", "POST /safe HT", &good[..60], &good] {
+        let start = Instant::now();
+        let mut client = relay.client();
+        client.send(sent.as_bytes());
+        let mut all = Vec::new();
+        client.0.get_mut().set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+        let _reset_or_end = client.0.read_to_end(&mut all);
+        assert!(
+            start.elapsed() < Duration::from_millis(2900),
+            "{sent:?}: let go after {:?}",
+            start.elapsed()
+        );
+        let answer = String::from_utf8_lossy(&all).into_owned();
+        assert!(all.is_empty() || answer.starts_with("HTTP/1.1 4"), "{sent:?}: {answer}");
+    }
+    let mut client = relay.client();
+    for id in ["m0", "m1"] {
+        assert_eq!(client.hand_in("safe", id, 1, 4000, b"").status(), 202);
+        let mut byte = [0];
+        client.0.get_mut().set_read_timeout(Some(Duration::from_millis(1700))).unwrap();
+        assert!(client.0.read(&mut byte).is_err(), "kept for 2 s");
+    }
+    client.0.get_mut().set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+    assert_eq!(client.0.read(&mut [0]).unwrap_or(0), 0, "then closed");
+    assert_eq!(host.calls_of("half"), 0);
+}
+
+/// More silent connections than there are places shut nobody out: the longest idle one goes.
+#[test]
+fn silent_clients_shut_nobody_out() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["limits"]["sockets"] = json!(64);
+    let relay = Relay::with(config, &agent);
+    let mut silent = Vec::new();
+    for n in 0..10 {
+        (0..20).for_each(|_| silent.push(relay.client()));
+        let start = Instant::now();
+        relay.take("safe", &format!("m{n}"), 1);
+        assert!(start.elapsed() < Duration::from_millis(1500), "served after {:?}", start.elapsed());
+        let open = std::fs::read_dir(format!("/proc/{}/fd", relay.child.id())).unwrap().count();
+        assert!(open <= 64, "{open} descriptors");
+    }
+    host.wait_calls(10);
+}
+
+#[test]
+fn a_destination_in_no_list_is_refused_until_it_is_listed() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    let relay = Relay::start(&agent);
+    let answer = relay.hand_in("safe", "m", 7);
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("Retry-After").parse::<f64>().unwrap() > 0.0, "told when to come back");
+    agent.list("a", 7, host.address, "active");
+    relay.take_once_listed("safe", "m", 7);
+    host.wait_calls(1);
+    assert_eq!(host.calls_of("m"), 1);
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -226,6 +226,11 @@
             "group": dest, "status": status, "weight": 1.0, "since_ms": 0}));
     }
 
+    /// A destination that is in the list and has nobody to send to yet: messages for it are held.
+    pub fn hold(&self, dest: u64) {
+        self.list(&format!("draining-{dest}"), dest, ([127, 0, 0, 1], 9).into(), "leaving");
+    }
+
     pub fn set_down(&self, down: bool) {
         self.told.lock().unwrap().down = down;
     }
@@ -406,6 +411,11 @@
         self.client().hand_in(class, id, dest, 4000, b"body")
     }
 
+    /// The same, again and again, until the relay has the destination's host in its list and takes it on.
+    pub fn take_once_listed(&self, class: &str, id: &str, dest: u64) {
+        until("a listed destination", || (self.hand_in(class, id, dest).status() == 202).then_some(()));
+    }
+
     /// The same, and it must be taken on.
     pub fn take(&self, class: &str, id: &str, dest: u64) {
         assert_eq!(self.hand_in(class, id, dest).status(), 202, "{id} is taken on");
