Spoilt answers: what can't be read may have run, but for a first line that says 200

Cause, from the code and then from tests: calls.rs `read` never looked at whether the body came, so 429, 503, 504 and 410 with a spoilt rest passed for "never ran" or "over"; a head that hyper rejects after `200` was Broken, and one that never ends a time-out; a body was read up to 4 MB and a head without a bound of our own; a 101 ended the connection. Ruled out: a copy behind an answer inside hyper's buffer. hyper's require_empty_read ends the connection then, also for chunks; the new test passed before the mend, and stays. Mend: the socket wrapper in conn.rs follows each answer through its first line (1xx skipped, 101 handed on as 100) and counts what lies behind the head. 200 in the first line is a delivery; any other status counts only if its answer came whole and alone, else the call may have run. A wait told with noise behind is heeded. Heads end within 16 KiB and 250 ms, bodies of calls within 16 KiB. Retry-After is believed up to 60 s, figures of a report up to a million. Module: `learn` heeds a wait whatever the outcome (moved, one line).

Tests: 16 rows more in each_outcome_is_told_apart, two tests of what stands behind an answer, one of the first line cut at each byte.

--- a/src/bin/mulleinslip/calls.rs
+++ b/src/bin/mulleinslip/calls.rs
@@ -2,7 +2,7 @@
 //! most one request on one connection; nothing is sent again here.
 
 use crate::config::{Config, Entry, Status};
-use crate::conn::{bytes, Answer, Conn, Progress};
+use crate::conn::{bytes, Answer, Conn, Failure, Progress, SMALL};
 use crate::driver::{Clock, Happened};
 use crate::journal::Journal;
 use bytes::Bytes;
@@ -22,8 +22,10 @@
 const PROBE: Duration = Duration::from_millis(1000);
 /// A connection is dropped so long before its host may close it, so that no request crosses the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// The longest wait that is believed; a wait is a second or two.
-const MOST_WAIT_S: f64 = 600.0;
+/// The longest wait that is believed: a wait is a second or two, or until a destination that is shut opens.
+const MOST_WAIT_S: f64 = 60.0;
+/// The largest figure of a load report that is believed: no host takes so many calls a second.
+const MOST_REPORTED: f64 = 1e6;
 
 /// What a call is to carry.
 pub struct Call {
@@ -94,12 +96,14 @@
     }
 }
 
-/// Why nothing was written.
+/// Why there is no answer.
 enum Held {
     /// No connection came up.
     NoConnection,
     /// The host is leaving, or was told to wait for, or the journal can't take the attempt.
     NotNow,
+    /// Not that: it was written, and what came back can't be read, but perhaps for its first line.
+    Spoilt,
 }
 
 impl Calls {
@@ -213,9 +217,16 @@
                 }
                 Ok(Err(Held::NoConnection)) => Outcome::NoConnection,
                 Ok(Err(Held::NotNow)) => Outcome::NotSent,
+                // It has run, as a first line is written once it has; if that says 200 it is delivered.
+                Ok(Err(Held::Spoilt)) => Outcome::Error,
                 Err(_) => Outcome::TimedOut,
             }
         };
+        let said_200 = progress.borrow().as_ref().is_some_and(|p| p.status() == Some(200));
+        if said_200 {
+            self.record(call, &Outcome::Delivered);
+            return End { outcome: Outcome::Delivered, settled: true, wait_ms: 0.0, report: Vec::new() };
+        }
         // The connection is closed by now. What was not written whole can't have run.
         let begun = progress.borrow().is_some();
         let written = progress.borrow().as_ref().is_some_and(|p| p.complete());
@@ -254,7 +265,11 @@
                 end
             }
             other => {
-                let outcome = if other.is_ok() { Outcome::NoConnection } else { Outcome::TimedOut };
+                let outcome = match other {
+                    Ok(Err(Held::Spoilt)) => Outcome::Error,
+                    Ok(_) => Outcome::NoConnection,
+                    Err(_) => Outcome::TimedOut,
+                };
                 End { outcome, settled: false, wait_ms: 0.0, report: Vec::new() }
             }
         };
@@ -287,11 +302,12 @@
             let (head, body) = request();
             let built = head.header("Host", address.to_string()).body(bytes(body));
             let Ok(built) = built else { return Err(Held::NotNow) };
-            match conn.exchange(built, BODY).await {
+            match conn.exchange(built, BODY, SMALL).await {
                 Ok(answer) => {
                     self.keep(endpoint, conn);
                     return Ok(answer);
                 }
+                Err(Failure::Spoilt) => return Err(Held::Spoilt),
                 Err(_) if kept && !conn.progress().begun() => continue,
                 Err(_) => return Err(Held::NoConnection),
             }
@@ -361,7 +377,15 @@
             // 500, and what the protocol doesn't know: it may have run.
             _ => (Outcome::Error, false),
         };
-        let wait_ms = if outcome == Outcome::Full { wait_ms } else { 0.0 };
+        // Only an answer that came whole, and alone, proves by its status that a call never ran or is over. A
+        // wait that was told stands all the same, unless the answer broke off.
+        let whole = answer.body.is_some();
+        let wait_ms = if outcome == Outcome::Full && whole { wait_ms } else { 0.0 };
+        let (outcome, settled) = match outcome {
+            Outcome::Delivered => (outcome, settled),
+            _ if whole && !answer.surplus => (outcome, settled),
+            _ => (Outcome::Error, false),
+        };
         if wait_ms > 0.0 {
             let until = Instant::now() + Duration::from_secs_f64(wait_ms / 1000.0);
             let mut state = self.state.borrow_mut();
@@ -376,7 +400,8 @@
     /// A load report's values in the order of the settings; `None` if it can't be read.
     fn report(&self, json: &[u8]) -> Option<Vec<f64>> {
         let values: HashMap<String, f64> = serde_json::from_slice(json).ok()?;
-        Some(self.columns.iter().map(|c| values.get(c).copied().unwrap_or(f64::NAN)).collect())
+        let value = |c: &String| values.get(c).copied().filter(|v| v.abs() <= MOST_REPORTED);
+        Some(self.columns.iter().map(|c| value(c).unwrap_or(f64::NAN)).collect())
     }
 }
 
--- a/src/bin/mulleinslip/conn.rs
+++ b/src/bin/mulleinslip/conn.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a host or to discovery, driven by whoever has a request on it. It carries one
-//! exchange at a time, sends nothing again, and knows how much of a request has gone out.
+//! exchange at a time, sends nothing again, and knows how much of a request has gone out and what came back,
+//! also of an answer that hyper can make nothing of.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -7,7 +8,6 @@
 use hyper::client::conn::http1;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{HeaderMap, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
@@ -17,10 +17,18 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 
-/// An answer's body is read this far; what is longer ends the connection.
-const MOST_BODY: usize = 1 << 22;
+/// How far the body of an answer is read that means nothing; what is longer ends the connection.
+pub const SMALL: usize = 16 * 1024;
+/// The longest head of an answer, and all that may come ahead of it: hyper takes no longer one either.
+const MOST_HEAD: usize = 16 * 1024;
+/// From an answer's first byte to the end of its head. Heads come in one piece.
+const HEAD: Duration = Duration::from_millis(250);
+/// What is read at once.
+const READ: usize = 4096;
 
 /// How far a request has gone out. A host begins a call when its last byte has come, so a break before that
 /// proves that it never ran.
@@ -29,6 +37,7 @@
     any: Cell<bool>,
     head_end: Cell<usize>,
     body_left: Cell<usize>,
+    answer: RefCell<Heard>,
 }
 
 impl Progress {
@@ -36,22 +45,16 @@
         self.any.set(false);
         self.head_end.set(0);
         self.body_left.set(body);
+        *self.answer.borrow_mut() = Heard::default();
     }
 
     fn wrote(&self, bytes: &[u8]) {
-        const END: &[u8] = b"\r\n\r\n";
         self.any.set(self.any.get() || !bytes.is_empty());
         let mut rest = bytes;
-        while self.head_end.get() < END.len() {
+        while self.head_end.get() < 4 {
             let Some((byte, after)) = rest.split_first() else { return };
             rest = after;
-            let matched = self.head_end.get();
-            // A CR that breaks off a match may begin the next one.
-            self.head_end.set(match *byte {
-                b if b == END[matched] => matched + 1,
-                b'\r' => 1,
-                _ => 0,
-            });
+            self.head_end.set(ended(self.head_end.get(), *byte));
         }
         self.body_left.set(self.body_left.get().saturating_sub(rest.len()));
     }
@@ -65,10 +68,129 @@
     pub fn complete(&self) -> bool {
         self.head_end.get() == 4 && self.body_left.get() == 0
     }
+
+    /// The status in the first line of the answer, if one came that can be read.
+    pub fn status(&self) -> Option<u16> {
+        match self.answer.borrow().part {
+            Part::Head { status, .. } | Part::Rest { status, .. } => Some(status),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Part {
+    /// In the first line, of an answer or of what is told ahead of it.
+    Line,
+    /// In the head of a 1xx, with so much of its end.
+    Interim(usize),
+    /// In the head, with so much of its end.
+    Head { status: u16, end: usize },
+    /// Behind the head by so many bytes.
+    Rest { status: u16, bytes: u64 },
+    /// No first line of an answer.
+    Noise,
+}
+
+/// An answer as its bytes show it, ahead of hyper, which tells nothing of a head that it rejects.
+struct Heard {
+    part: Part,
+    line: Vec<u8>,
+    /// Bytes up to the end of the head.
+    ahead: usize,
+}
+
+impl Default for Heard {
+    fn default() -> Heard {
+        Heard { part: Part::Line, line: Vec::new(), ahead: 0 }
+    }
+}
+
+impl Heard {
+    /// Something of an answer has come, and its head is not over.
+    fn amid_head(&self) -> bool {
+        match self.part {
+            Part::Line => !self.line.is_empty(),
+            Part::Rest { .. } => false,
+            Part::Interim(_) | Part::Head { .. } | Part::Noise => true,
+        }
+    }
+
+    /// Looks at what was read. A 101 that nobody asked for says no more than any other 1xx, but hyper would stop
+    /// there, so it is handed on as a 100.
+    fn read(&mut self, bytes: &mut [u8]) {
+        for at in 0..bytes.len() {
+            if let Part::Rest { bytes: behind, .. } = &mut self.part {
+                *behind += (bytes.len() - at) as u64;
+                return;
+            }
+            self.ahead += 1;
+            if self.ahead > MOST_HEAD && !matches!(self.part, Part::Head { .. }) {
+                self.part = Part::Noise;
+            }
+            let byte = &mut bytes[at];
+            self.part = match self.part {
+                Part::Noise => return,
+                Part::Line if self.line.is_empty() && matches!(byte, b'\r' | b'\n') => Part::Line,
+                Part::Line => {
+                    if *byte == b'1' && self.line.starts_with(b"HTTP/1.") && self.line.ends_with(b" 10") {
+                        *byte = b'0';
+                    }
+                    self.line.push(*byte);
+                    self.first_line()
+                }
+                Part::Interim(end) => match ended(end, *byte) {
+                    4 => Part::Line,
+                    end => Part::Interim(end),
+                },
+                Part::Head { status, end } => match ended(end, *byte) {
+                    4 => Part::Rest { status, bytes: 0 },
+                    end => Part::Head { status, end },
+                },
+                rest => rest,
+            };
+        }
+    }
+
+    /// What the first line shows so far: `HTTP/1.1 200` and then a space or the end of the line.
+    fn first_line(&mut self) -> Part {
+        const FORM: &[u8; 13] = b"HTTP/1.d ddd ";
+        let fits = |(byte, form): (&u8, &u8)| match form {
+            b'd' => byte.is_ascii_digit(),
+            _ => byte == form,
+        };
+        let over = self.line.len() == FORM.len();
+        let last = self.line.last().is_some_and(|b| matches!(b, b'\r' | b'\n'));
+        let form = &FORM[..FORM.len() - usize::from(over && last)];
+        if !self.line.iter().zip(form).all(fits) {
+            return Part::Noise;
+        }
+        if !over {
+            return Part::Line;
+        }
+        let status = self.line[9..12].iter().fold(0, |n, digit| n * 10 + u16::from(digit - b'0'));
+        let end = ended(0, self.line[12]);
+        self.line.clear();
+        match status {
+            100..200 => Part::Interim(end),
+            _ => Part::Head { status, end },
+        }
+    }
+}
+
+/// How much of the end of a head has come with one more byte.
+fn ended(matched: usize, byte: u8) -> usize {
+    const END: &[u8; 4] = b"\r\n\r\n";
+    match byte {
+        b if END.get(matched) == Some(&b) => matched + 1,
+        // A CR that breaks off a match may begin the next one.
+        b'\r' => 1,
+        _ => 0,
+    }
 }
 
 /// The socket, shared by hyper, which reads and writes it, and by [`Conn::usable`], which looks at it.
-type Socket = Rc<RefCell<TokioIo<TcpStream>>>;
+type Socket = Rc<RefCell<TcpStream>>;
 
 struct Stream {
     io: Socket,
@@ -76,8 +198,14 @@
 }
 
 impl Read for Stream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let mut bytes = [0; READ];
+        let most = buf.remaining().min(READ);
+        let mut read = ReadBuf::new(&mut bytes[..most]);
+        std::task::ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut read))?;
+        self.progress.answer.borrow_mut().read(read.filled_mut());
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -105,6 +233,26 @@
     pub headers: HeaderMap,
     /// `None` if it did not come whole.
     pub body: Option<Bytes>,
+    /// More came than belongs to it.
+    pub surplus: bool,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// The connection broke before anything came back.
+    Broken(hyper::Error),
+    /// What came back can't be read, or its head does not end. [`Progress`] has the status in its first line.
+    Spoilt,
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Failure::Broken(e) => e.fmt(f),
+            Failure::Spoilt => f.write_str("an answer that can't be read"),
+        }
+    }
 }
 
 /// A connection with no exchange on it, or the one of its owner.
@@ -112,6 +260,7 @@
     sender: http1::SendRequest<Body>,
     driver: Pin<Box<http1::Connection<Stream, Body>>>,
     driver_done: bool,
+    driver_failed: bool,
     socket: Socket,
     progress: Rc<Progress>,
     reusable: bool,
@@ -119,16 +268,17 @@
 
 impl Conn {
     pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Conn> {
-        let stream = tokio::time::timeout(within, TcpStream::connect(address))
+        let stream = timeout(within, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        let socket = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let socket = Rc::new(RefCell::new(stream));
         let progress = Rc::new(Progress::default());
         let stream = Stream { io: socket.clone(), progress: progress.clone() };
-        let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
-        let driver = Box::pin(driver);
-        Ok(Conn { sender, driver, driver_done: false, socket, progress, reusable: true })
+        let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(stream);
+        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
+        let (driver, driver_done, driver_failed) = (Box::pin(driver), false, false);
+        Ok(Conn { sender, driver, driver_done, driver_failed, socket, progress, reusable: true })
     }
 
     pub fn progress(&self) -> Rc<Progress> {
@@ -140,37 +290,61 @@
     pub fn usable(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let socket = self.socket.borrow();
-        let peeked = socket2::SockRef::from(socket.inner()).peek(&mut byte);
+        let peeked = socket2::SockRef::from(&*socket).peek(&mut byte);
         let quiet = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
         self.reusable && !self.driver_done && quiet
     }
 
-    /// Sends a request and waits for its answer, and then for its body for so long at most. On an error
-    /// [`Progress`] tells whether the request can have run.
-    pub async fn exchange(&mut self, request: Request<Body>, body_within: Duration) -> hyper::Result<Answer> {
+    /// Sends a request and waits for its answer, and then for its body, for so long and up to so much at most.
+    /// On an error [`Progress`] tells whether the request can have run.
+    pub async fn exchange(
+        &mut self, request: Request<Body>, body_within: Duration, most: usize,
+    ) -> Result<Answer, Failure> {
         self.reusable = false;
         self.progress.begin(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize);
         let mut sending = Box::pin(self.sender.send_request(request));
+        let mut late = None;
         let response = poll_fn(|cx| {
             self.drive(cx);
-            sending.as_mut().poll(cx)
+            if let Poll::Ready(response) = sending.as_mut().poll(cx) {
+                return Poll::Ready(Some(response));
+            }
+            if !self.progress.answer.borrow().amid_head() {
+                late = None;
+                return Poll::Pending;
+            }
+            let late = late.get_or_insert_with(|| Box::pin(sleep(HEAD)));
+            late.as_mut().poll(cx).map(|()| None)
         })
-        .await?;
+        .await;
         drop(sending);
-        let (head, body) = response.into_parts();
-        let body = tokio::time::timeout(body_within, self.drain(body)).await.ok().flatten();
-        self.reusable = body.is_some();
-        Ok(Answer { status: head.status, headers: head.headers, body })
+        let (head, body) = match response {
+            Some(Ok(response)) => response.into_parts(),
+            Some(Err(e)) if self.progress.answer.borrow().ahead == 0 => return Err(Failure::Broken(e)),
+            Some(Err(_)) | None => return Err(Failure::Spoilt),
+        };
+        let length = body.size_hint().exact();
+        let body = match length {
+            Some(length) if length > most as u64 => None,
+            _ => timeout(body_within, self.drain(body, most)).await.ok().flatten(),
+        };
+        let part = self.progress.answer.borrow().part;
+        let behind = matches!(part, Part::Rest { bytes, .. } if length.is_some_and(|l| bytes > l));
+        let surplus = behind || self.driver_failed;
+        self.reusable = body.is_some() && !surplus;
+        Ok(Answer { status: head.status, headers: head.headers, body, surplus })
     }
 
     /// Lets hyper read and write. Nobody else does, so a connection with nothing on it costs nothing.
     fn drive(&mut self, cx: &mut Context) {
         if !self.driver_done {
-            self.driver_done = self.driver.as_mut().poll(cx).is_ready();
+            let driven = self.driver.as_mut().poll(cx);
+            self.driver_done = driven.is_ready();
+            self.driver_failed = matches!(driven, Poll::Ready(Err(_)));
         }
     }
 
-    async fn drain(&mut self, mut body: hyper::body::Incoming) -> Option<Bytes> {
+    async fn drain(&mut self, mut body: hyper::body::Incoming, most: usize) -> Option<Bytes> {
         let mut all = Vec::new();
         loop {
             let frame = poll_fn(|cx| {
@@ -183,7 +357,7 @@
                 Some(Err(_)) => return None,
                 Some(Ok(frame)) => all.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
             }
-            if all.len() > MOST_BODY {
+            if all.len() > most {
                 return None;
             }
         }
@@ -220,7 +394,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Progress;
+    use super::{Heard, Part, Progress, MOST_HEAD};
 
     /// A break before the last byte proves that the call never ran: an unsafe message may be tried again then,
     /// and only then. Sockets take a small request in one write, so this can't be provoked over one.
@@ -241,6 +415,43 @@
         }
     }
 
+    /// What an answer shows must not depend on how it is cut into reads.
+    #[test]
+    fn the_first_line_is_read_whatever_comes_ahead_and_however_it_is_cut() {
+        let rows: &[(&[u8], Option<u16>, u64)] = &[
+            (b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", Some(200), 4),
+            (b"HTTP/1.0 503\r\n\r\n", Some(503), 0),
+            (b"\r\nHTTP/1.1 200\n", Some(200), 0),
+            (b"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 y\r\nA: b\r\n\r\nHTTP/1.1 200 z\r\n\r\n.", Some(200), 1),
+            (b"HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\nHTTP/1.1 429 z\r\nA", Some(429), 0),
+            (b"HTTP/1.1 2000 OK\r\n\r\n", None, 0),
+            (b"HTTP/1.1 20x OK\r\n\r\n", None, 0),
+            (b"http/1.1 200 OK\r\n\r\n", None, 0),
+            (b"noise\r\nHTTP/1.1 200 OK\r\n\r\n", None, 0),
+            (b"HTTP/1.1 100 never over\r\nHTTP/1.1 200", None, 0),
+        ];
+        for (bytes, status, behind) in rows {
+            for cut in 0..=bytes.len() {
+                let progress = Progress::default();
+                let mut bytes = bytes.to_vec();
+                let (first, second) = bytes.split_at_mut(cut);
+                progress.answer.borrow_mut().read(first);
+                progress.answer.borrow_mut().read(second);
+                let words = String::from_utf8_lossy(&bytes).into_owned();
+                assert_eq!(progress.status(), *status, "{words} cut at {cut}");
+                let counted = match progress.answer.borrow().part {
+                    Part::Rest { bytes, .. } => bytes,
+                    _ => 0,
+                };
+                assert_eq!(counted, *behind, "{words} cut at {cut}");
+                assert!(!words.contains(" 101 "), "hyper would stop at a 101");
+            }
+        }
+        let mut endless = Heard::default();
+        (0..MOST_HEAD).for_each(|_| endless.read(&mut b"HTTP/1.1 100 x\r\n\r\n".to_vec()));
+        assert_eq!(endless.part, Part::Noise);
+    }
+
     #[test]
     fn a_request_without_a_body_is_complete_with_its_head() {
         let progress = Progress::default();
--- a/src/bin/mulleinslip/discovery.rs
+++ b/src/bin/mulleinslip/discovery.rs
@@ -15,6 +15,8 @@
 const WATCH: Duration = Duration::from_millis(5000);
 const GRACE: Duration = Duration::from_millis(1000);
 const CONNECT: Duration = Duration::from_millis(1000);
+/// A list is read this far: thousands of hosts.
+const MOST_LIST: usize = 1 << 20;
 const RETRY_MS: (u64, u64) = (50, 1000);
 
 /// Discovery's agent, over one connection that is kept.
@@ -41,7 +43,7 @@
         };
         let request = Request::get(path).header("Host", self.address.to_string()).body(bytes(""));
         let request = request.map_err(|e| e.to_string())?;
-        let answer = tokio::time::timeout(within, conn.exchange(request, GRACE))
+        let answer = tokio::time::timeout(within, conn.exchange(request, GRACE, MOST_LIST))
             .await
             .map_err(|_| "no answer in time".to_string())?
             .map_err(|e| e.to_string())?;
--- a/src/bin/mulleinslip/notices.rs
+++ b/src/bin/mulleinslip/notices.rs
@@ -1,7 +1,7 @@
 //! Notices to the platform: how a message ended that was taken on and not delivered. Each is sent at once and
 //! again until it is answered 204, to where the platform is now; one for a message that is over does no harm.
 
-use crate::conn::{backoff, bytes, Conn};
+use crate::conn::{backoff, bytes, Conn, SMALL};
 use crate::driver::Happened;
 use crate::journal::Verdict;
 use hyper::{Request, StatusCode};
@@ -43,7 +43,7 @@
     };
     let request = Request::post("/v1/outcomes").header("Host", to.to_string()).body(bytes(body));
     let request = request.map_err(|e| e.to_string())?;
-    let answer = timeout(WITHIN, used.exchange(request, WITHIN)).await;
+    let answer = timeout(WITHIN, used.exchange(request, WITHIN, SMALL)).await;
     let answer = answer.map_err(|_| "no answer in time".to_string())?.map_err(|e| e.to_string())?;
     *conn = Some(used);
     Ok(answer.status)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -291,6 +291,8 @@
         let (_, few) = self.paces();
         let Some(l) = self.lanes.get_mut(id) else { return };
         l.trial_out &= !trial;
+        // A wait is told by a refusal, or by an answer that shows nothing else for certain.
+        l.wait_until = l.wait_until.max(if wait > 0.0 { now + wait } else { 0.0 });
         match o {
             Outcome::Cancelled | Outcome::NotSent => return,
             Outcome::Delivered => {
@@ -321,7 +323,6 @@
                 return;
             }
             Outcome::Full => {
-                l.wait_until = l.wait_until.max(if wait > 0.0 { now + wait } else { 0.0 });
                 l.unproved = false;
                 l.full_since = if l.fulls == 0 { now } else { l.full_since };
                 l.fulls += 1;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -59,6 +59,26 @@
         (Reply::Reset, "keyed", 2, false),
         (Reply::Reset, "unsafe", 1, true),
         (Reply::Silent, "keyed", 2, false),
+        // Spoilt: it may have run, whatever status it gives.
+        (Reply::Raw("\0noise\r\n\r\n"), "unsafe", 1, true),
+        (Reply::Raw("\0noise\r\n\r\n"), "keyed", 2, false),
+        (Reply::Raw("HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nshort"), "unsafe", 1, true),
+        (Reply::Raw("HTTP/1.1 504 x\r\nContent-Length: -9\r\n\r\n"), "unsafe", 1, true),
+        (Reply::Raw("HTTP/1.1 429 x\r\nRetry-After: 0.05\r\nno colon\r\n\r\n"), "unsafe", 1, true),
+        (Reply::Raw("HTTP/1.1 503 x\r\nA: b\r\n"), "unsafe", 1, true),
+        (Reply::Raw("HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n..."), "unsafe", 1, true),
+        (Reply::Raw("HTTP/1.1 410 x\r\nContent-Length: 9\r\n\r\nshort"), "safe", 2, false),
+        // Or its length is too short for it, or it came twice: nobody can tell.
+        (Reply::Raw("HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nlonger"), "unsafe", 1, true),
+        // But for a first line that says 200: that is true.
+        (Reply::Raw("HTTP/1.1 200 x\r\nA: b\r\n"), "unsafe", 1, false),
+        (Reply::Raw("HTTP/1.1 200 x\r\nno colon\r\n\r\n"), "unsafe", 1, false),
+        (Reply::Raw("HTTP/1.1 200 x\r\nContent-Length: -9\r\n\r\n"), "unsafe", 1, false),
+        (Reply::Raw("HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n..."), "unsafe", 1, false),
+        // Good, with more than belongs to it.
+        (Reply::Raw("HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n"), "unsafe", 1, false),
+        (Reply::Raw("HTTP/1.1 101 x\r\n\r\nHTTP/1.1 504 x\r\nContent-Length: 0\r\n\r\n"), "unsafe", 2, false),
+        (Reply::With(504, "X-Load-Report: {\"x0\":\"?\r\n"), "unsafe", 2, false),
     ];
     for (row, (reply, class, calls, notice)) in rows.iter().enumerate() {
         let host = Host::first(vec![reply.clone()]);
@@ -710,3 +730,37 @@
     host.wait_calls(1);
     assert_eq!(host.calls_of("m"), 1);
 }
+
+/// What stands behind an answer must not pass for the answer to the next call: here it would end a message that
+/// the host has turned away.
+#[test]
+fn what_comes_behind_an_answer_answers_no_other_call() {
+    const TWICE: &str =
+        "HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n";
+    const CHUNKS: &str =
+        "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 x\r\n\r\n";
+    for behind in [TWICE, CHUNKS, "HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\nnoise"] {
+        let host = Host::first(vec![Reply::Raw(behind), Reply::Status(504)]);
+        let agent = Agent::new(&[("a", 1, &host)]);
+        let relay = Relay::start(&agent);
+        relay.take("safe", "first", 1);
+        host.wait_calls(1);
+        relay.take("unsafe", "second", 1);
+        let calls = host.wait_calls(3);
+        assert_eq!((calls[1].id(), calls[2].id()), ("second", "second"), "behind: {behind}");
+        assert_ne!(calls[0].conn, calls[1].conn);
+    }
+}
+
+/// A wait is heeded also where the rest of its answer proves nothing.
+#[test]
+fn a_wait_told_with_more_than_belongs_to_it_is_heeded() {
+    let told = "HTTP/1.1 429 x\r\nRetry-After: 0.6\r\nContent-Length: 0\r\n\r\nnoise";
+    let host = Host::first(vec![Reply::Raw(told)]);
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    relay.take("safe", "m", 1);
+    let calls = host.wait_calls(2);
+    let waited = calls[1].at - calls[0].at;
+    assert!(waited >= Duration::from_millis(600), "the next call came after {waited:?}");
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -73,6 +73,8 @@
     Late(u64),
     /// Answers 200 and closes the connection once it has stood idle for a while, without saying so.
     AndClose,
+    /// These bytes, and the connection stays open.
+    Raw(&'static str),
     Reset,
     Silent,
 }
@@ -140,6 +142,7 @@
                     response(200, "")
                 }
                 Reply::AndClose => response(200, ""),
+                Reply::Raw(bytes) => bytes.to_string(),
                 Reply::Reset => return,
                 Reply::Silent => {
                     // Until the relay gives up.
