In a crowd an answer closes its connection

So requests were not lost on the way: clients had no connection left. Mend (clients.rs): with half of the places taken, answers say Connection: close. No request can cross that close, as the client is told.

Test: in_a_crowd_an_answer_closes_its_connection.

--- a/src/bin/mulleinslip/clients.rs
+++ b/src/bin/mulleinslip/clients.rs
@@ -60,10 +60,12 @@
     ambiguous: Cell<bool>,
     told_to_leave: Cell<bool>,
     leave: Notify,
+    /// Shared by all: too many are here for idle ones to be kept.
+    crowded: Rc<Cell<bool>>,
 }
 
 impl Guest {
-    fn new() -> Guest {
+    fn new(crowded: Rc<Cell<bool>>) -> Guest {
         Guest {
             turn: Cell::new(Turn::Idle),
             since: Cell::new(Instant::now()),
@@ -71,6 +73,7 @@
             ambiguous: Cell::new(false),
             told_to_leave: Cell::new(false),
             leave: Notify::new(),
+            crowded,
         }
     }
 
@@ -104,7 +107,7 @@
 
     /// Whether this connection takes no request after the one at hand.
     pub fn ends(&self) -> bool {
-        self.ambiguous.get() || matches!(*self.framing.borrow(), Framing::Last)
+        self.ambiguous.get() || self.crowded.get() || matches!(*self.framing.borrow(), Framing::Last)
     }
 
     fn dismiss(&self) {
@@ -240,11 +243,30 @@
     intake: Rc<Intake>,
     places: Arc<Semaphore>,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
+    /// From so many on, an answer closes its connection. Clients hold only so many of their own, and one that
+    /// asks once and stays takes one of them for 2 s from a client that has something to hand in.
+    crowd: usize,
+    crowded: Rc<Cell<bool>>,
 }
 
 impl Clients {
     pub fn new(intake: Rc<Intake>, most: usize) -> Rc<Clients> {
-        Rc::new(Clients { intake, places: Arc::new(Semaphore::new(most)), guests: RefCell::default() })
+        let (guests, crowded) = (RefCell::default(), Rc::default());
+        Rc::new(Clients { intake, places: Arc::new(Semaphore::new(most)), guests, crowd: most / 2, crowded })
+    }
+
+    fn come(&self, number: u64) -> Rc<Guest> {
+        let guest = Rc::new(Guest::new(self.crowded.clone()));
+        let mut guests = self.guests.borrow_mut();
+        guests.insert(number, guest.clone());
+        self.crowded.set(guests.len() > self.crowd);
+        guest
+    }
+
+    fn go(&self, number: u64) {
+        let mut guests = self.guests.borrow_mut();
+        guests.remove(&number);
+        self.crowded.set(guests.len() > self.crowd);
     }
 
     /// Closes what overstays. For good.
@@ -283,12 +305,11 @@
             }
             let place = tokio::time::timeout(PLACE, self.places.clone().acquire_owned()).await;
             let Ok(Ok(place)) = place else { continue };
-            let guest = Rc::new(Guest::new());
-            self.guests.borrow_mut().insert(number, guest.clone());
+            let guest = self.come(number);
             let (clients, close) = (self.clone(), close.clone());
             tokio::task::spawn_local(async move {
                 clients.entertain(stream, guest, close).await;
-                clients.guests.borrow_mut().remove(&number);
+                clients.go(number);
                 drop(place);
             });
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -717,6 +717,23 @@
     host.wait_calls(10);
 }
 
+/// Clients that ask once and stay: with half of the places taken, an answer closes its connection, and says so, as
+/// clients have only so many connections themselves.
+#[test]
+fn in_a_crowd_an_answer_closes_its_connection() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["limits"]["sockets"] = json!(64);
+    let relay = Relay::with(config, &agent);
+    let mut first = relay.client();
+    assert_eq!(first.hand_in("safe", "m0", 1, 4000, b"").header("Connection"), "");
+    let _crowd: Vec<_> = (0..12).map(|_| relay.client()).collect();
+    let answer = relay.hand_in("safe", "m1", 1);
+    assert_eq!((answer.status(), answer.header("Connection")), (202, "close"));
+    host.wait_calls(2);
+}
+
 #[test]
 fn a_destination_in_no_list_is_refused_until_it_is_listed() {
     let host = Host::ok();
