A kept connection that turns out dead says nothing of its destination

Cause: calls.rs told the module Broken for both, and `learn` counts each as a failure of the destination: five in a row, three while ramping, shut it. Ruled out: an idle time that could be learned. The share of dead ones is 7% under 0.1 s idle and 25% over it, in the hours of the trouble only; a new connection costs as much as such a break. Mend: Outcome::Stale, for a kept connection that breaks within 100 ms of the request with no byte of an answer. It may have run, as before; the lane's health does not hear of it. Not written whole it is NotSent.

Test: kept_connections_that_are_dead_are_no_outage (fails with STALE at 0).

--- a/src/bin/mulleinslip/calls.rs
+++ b/src/bin/mulleinslip/calls.rs
@@ -22,6 +22,9 @@
 const PROBE: Duration = Duration::from_millis(1000);
 /// A connection is dropped so long before its host may close it, so that no request crosses the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// A kept connection that breaks so soon after a request was written, with nothing come back, was dead before: a
+/// round trip, and room for a slow machine. A host that fails its calls so soon shows it on new connections.
+const STALE: Duration = Duration::from_millis(100);
 /// The longest wait that is believed: a wait is a second or two, or until a destination that is shut opens.
 const MOST_WAIT_S: f64 = 60.0;
 /// The largest figure of a load report that is believed: no host takes so many calls a second.
@@ -102,6 +105,8 @@
     NoConnection,
     /// The host is leaving, or was told to wait for, or the journal can't take the attempt.
     NotNow,
+    /// Not that: a kept connection was dead before anything was written on it, and did not show it.
+    Stale,
     /// Not that: it was written, and what came back can't be read, but perhaps for its first line.
     Spoilt,
 }
@@ -217,6 +222,7 @@
                 }
                 Ok(Err(Held::NoConnection)) => Outcome::NoConnection,
                 Ok(Err(Held::NotNow)) => Outcome::NotSent,
+                Ok(Err(Held::Stale)) => Outcome::Stale,
                 // It has run, as a first line is written once it has; if that says 200 it is delivered.
                 Ok(Err(Held::Spoilt)) => Outcome::Error,
                 Err(_) => Outcome::TimedOut,
@@ -232,6 +238,7 @@
         let written = progress.borrow().as_ref().is_some_and(|p| p.complete());
         let outcome = match outcome {
             Outcome::NoConnection if written => Outcome::Broken,
+            Outcome::Stale if !written => Outcome::NotSent,
             Outcome::Cancelled | Outcome::TimedOut if !written => Outcome::NoConnection,
             other => other,
         };
@@ -242,7 +249,8 @@
     }
 
     fn record(&self, call: &Call, outcome: &Outcome) {
-        let runs_yet = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled);
+        let runs_yet =
+            matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Stale | Outcome::Cancelled);
         let recorded =
             self.journal.borrow_mut().outcome(call.id, call.attempt, !outcome.never_ran(), runs_yet);
         if let Err(e) = recorded {
@@ -267,6 +275,7 @@
             other => {
                 let outcome = match other {
                     Ok(Err(Held::Spoilt)) => Outcome::Error,
+                    Ok(Err(Held::Stale)) => Outcome::Stale,
                     Ok(_) => Outcome::NoConnection,
                     Err(_) => Outcome::TimedOut,
                 };
@@ -302,6 +311,7 @@
             let (head, body) = request();
             let built = head.header("Host", address.to_string()).body(bytes(body));
             let Ok(built) = built else { return Err(Held::NotNow) };
+            let began = Instant::now();
             match conn.exchange(built, BODY, SMALL).await {
                 Ok(answer) => {
                     self.keep(endpoint, conn);
@@ -309,6 +319,7 @@
                 }
                 Err(Failure::Spoilt) => return Err(Held::Spoilt),
                 Err(_) if kept && !conn.progress().begun() => continue,
+                Err(_) if kept && began.elapsed() < STALE => return Err(Held::Stale),
                 Err(_) => return Err(Held::NoConnection),
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -203,6 +203,8 @@
     NoConnection,
     /// The connection broke; it may have taken effect.
     Broken,
+    /// A kept connection turned out dead under it; it may have taken effect. It says nothing of the destination.
+    Stale,
     /// Called off; it may have taken effect.
     Cancelled,
     /// Never sent.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -295,6 +295,7 @@
         l.wait_until = l.wait_until.max(if wait > 0.0 { now + wait } else { 0.0 });
         match o {
             Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Stale => return self.conns_hurt.extend(self.hosts.get(host).map(|h| (h.kind, now))),
             Outcome::Delivered => {
                 l.measure(took);
                 l.refill(now);
@@ -549,7 +550,7 @@
         if !o.never_ran() && m.maybe.as_ref().is_none_or(|x| call.sent < x.0) {
             m.maybe = Some((call.sent, call.host.clone()));
         }
-        if matches!(o, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
+        if matches!(o, Outcome::TimedOut | Outcome::Broken | Outcome::Stale | Outcome::Cancelled) {
             if let Some(k) = m.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
                 (k.rest, k.last) = (self.now + self.s.order_pause_ms, id);
             }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -781,3 +781,37 @@
     let waited = calls[1].at - calls[0].at;
     assert!(waited >= Duration::from_millis(600), "the next call came after {waited:?}");
 }
+
+/// Kept connections that turn out dead, several in a row, say nothing of their destination: it is not taken to be
+/// out, and what was written on them, which may have run, is repeated only where it may be.
+#[test]
+fn kept_connections_that_are_dead_are_no_outage() {
+    let known = std::sync::Mutex::new(std::collections::HashSet::new());
+    let host = Host::new(move |call, _| match known.lock().unwrap().insert(call.conn) {
+        true => Reply::Late(100),
+        false => Reply::Reset,
+    });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(&agent);
+    // Six at once open six connections, which are dead when the next six come.
+    for round in 0..6 {
+        let ids: Vec<_> = (0..6).map(|n| format!("m{round}-{n}")).collect();
+        ids.iter().for_each(|id| relay.take("safe", id, 1));
+        // Each comes until it is answered: the next round finds those connections idle.
+        until("six answers", || ids.iter().all(|id| host.answered(id)).then_some(()));
+    }
+    let resets = host.heard().len() - host.served();
+    assert!(resets >= 12, "{resets} calls met a dead connection");
+    assert!(!relay.logged("out:"));
+    until("an unsafe message on a dead connection", || {
+        let id = format!("u{}", host.heard().len());
+        relay.take("unsafe", &id, 1);
+        until("its call", || (host.calls_of(&id) > 0).then_some(()));
+        let done = until("its end", || {
+            let reset = !agent.notices_of(&id).is_empty();
+            (reset || host.answered(&id)).then_some(reset)
+        });
+        assert_eq!(host.calls_of(&id), 1, "{id} is not repeated");
+        done.then_some(())
+    });
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -93,6 +93,8 @@
     pub conns: Arc<AtomicUsize>,
     /// Connections that it closed by itself.
     pub closed: Arc<AtomicUsize>,
+    /// Ids of the calls that it answered.
+    answers: Arc<Mutex<Vec<String>>>,
 }
 
 impl Host {
@@ -104,6 +106,7 @@
             heard: Arc::default(),
             conns: Arc::default(),
             closed: Arc::default(),
+            answers: Arc::default(),
         };
         let (this, script): (Host, Arc<Script>) = (host.clone(), Arc::new(script));
         std::thread::spawn(move || {
@@ -153,6 +156,7 @@
             if reader.get_mut().write_all(text.as_bytes()).is_err() {
                 return;
             }
+            self.answers.lock().unwrap().push(heard.id().to_string());
             if matches!(reply, Reply::AndClose) {
                 std::thread::sleep(Duration::from_millis(150));
                 drop(reader);
@@ -166,6 +170,14 @@
         self.heard.lock().unwrap().clone()
     }
 
+    pub fn served(&self) -> usize {
+        self.answers.lock().unwrap().len()
+    }
+
+    pub fn answered(&self, id: &str) -> bool {
+        self.answers.lock().unwrap().iter().any(|a| a == id)
+    }
+
     pub fn calls_of(&self, id: &str) -> usize {
         self.heard().iter().filter(|h| h.id() == id).count()
     }
