A destination that answers with errors is tried as fast as it bears

From 75.4 s on all calls are delivered, yet one relay found it back at 78.55 s only. Before that, two answers to calls sent before the errors were taken for a return, and the calls sent on it failed; those of keyed messages then were given up at the end of their window. Ruled out: a bad new host, or one at an old address (the list of destination 8 does not change from 58 to 76 s, and the three hosts fail alike); dead connections (kept and new ones fail alike, one Stale in all); single bad messages (81 errors are spread over some 60 messages, some of them delivered at the next attempt); a full hold (no message is turned away). At fault in logic.rs: the wait in shut, the same for an answer as for silence; back, called for any delivery; pick, which spends trials on the oldest; fits, which lets a trial have no time.

Mend: after an answered error the next trial comes as soon as the budget of a ramp allows; three trials in a row prove the return, and only trials do; a trial takes what is worth most of what can be repeated, and has the time for an answer.

Tests: a_destination_that_answers_with_errors_is_found_back_in_time over sockets; two of the module. All fail without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,6 +12,7 @@
 const SICK_DEVS: f64 = 4.0; // a call this many deviations over its mean outruns its latency (RFC 6298)
 const OUT_FAILS: u32 = 5; // failures in a row, time-outs twice, on every endpoint, that shut a lane
 const OUT_SHARE: f64 = 0.7; // or this share of failures of late
+const GOODS: (u32, u32) = (2, 3); // trials delivered in a row that prove a return; if it answered errors
 const SHUT_FULLS: u32 = 5; // refusals in a row, over SHUT_MS, that mean shut and not just over the limit
 const SHUT_MS: f64 = 2000.0;
 const TRIAL_MS: (f64, f64, f64, f64) = (500.0, 2000.0, 4000.0, 30000.0); // between trials: dense; sparse
@@ -257,8 +258,10 @@
         most.max(1)
     }
 
-    fn shut(&mut self, id: &LaneId, why: &str, out: &mut Vec<Action>) {
+    /// A lane is out, or a trial of it failed; `answered` says after how long, if it answered at all.
+    fn shut(&mut self, id: &LaneId, why: &str, answered: Option<f64>, out: &mut Vec<Action>) {
         let (now, jitter) = (self.now, 0.75 + 0.5 * self.rng.f64());
+        let cold = self.lanes.get(id).map_or(0.0, |l| self.bears(l, now));
         let Some(l) = self.lanes.get_mut(id) else { return };
         if l.phase != Phase::Out {
             out.push(Action::Log(format!("destination {} out: {why}", id.0)));
@@ -270,9 +273,15 @@
         let least = gap.clamp(TRIAL_MS.0, (TRIAL_MS.0 * crowd).min(TRIAL_MS.2));
         let most = (2.0 * gap).clamp(TRIAL_MS.1, (TRIAL_MS.0 * crowd).clamp(TRIAL_MS.1, TRIAL_MS.3));
         let wait = l.backoff.max(least).min(most);
+        // A destination that answers with errors is there, and some of what it is sent may well be delivered:
+        // trials go as fast as it bears when it comes back cold, and find its return at once. It also guards
+        // against errors that only some calls get. It could do harm where errors use up a limit, or cost more
+        // than a delivery; so never without an answer, and never beyond the budget of a ramp.
+        let paced = (self.s.fall_ms / cold.max(1e-9)).min(wait);
+        l.trial_at = now + answered.map_or(wait * jitter, |took| (paced * jitter - took).max(0.0));
+        l.backoff = answered.map_or(2.0 * wait, |_| l.backoff);
+        l.answers = answered.is_some();
         l.phase = Phase::Out;
-        l.trial_at = now + wait * jitter;
-        l.backoff = 2.0 * wait;
         (l.good, l.probe_good) = (0, false);
     }
 
@@ -283,7 +292,8 @@
         l.good += 1;
         l.trial_at = now;
         // Where calls fail at random, one success proves little.
-        if l.good >= if l.share > 0.5 { 2 } else { 1 } {
+        let enough = if l.answers { GOODS.1 } else { GOODS.0 };
+        if l.good >= if l.share > 0.5 { enough } else { 1 } {
             l.phase = Phase::Ramp(now);
             (l.fails, l.share, l.fulls, l.pace, l.failing) = (0, 0.0, 0, None, false);
             out.push(Action::Log(format!("destination {} back, ramping", id.0)));
@@ -325,7 +335,8 @@
                 if l.phase == Phase::Out && l.unproved {
                     // Shut for late answers alone, and now they come: it was slow, not gone.
                     (l.phase, l.backoff) = (Phase::Well, TRIAL_MS.0);
-                } else if l.phase == Phase::Out {
+                } else if l.phase == Phase::Out && (trial || !l.answers) {
+                    // What was out before most calls failed says nothing of now.
                     self.back(id, out);
                 }
                 return;
@@ -338,7 +349,7 @@
                 let once = l.fulls < 2;
                 self.slow(id, wait > 0.0 && once);
                 if again {
-                    self.shut(id, "refuses everything", out);
+                    self.shut(id, "refuses everything", None, out);
                 }
                 return;
             }
@@ -364,7 +375,7 @@
         // While out only a failed trial puts the next one off: what was out before says nothing new.
         let enough = if phase == Phase::Well { OUT_FAILS } else { OUT_FAILS - 2 };
         if if phase == Phase::Out { trial } else { (every && fails >= enough) || share > OUT_SHARE } {
-            self.shut(id, "calls fail", out);
+            self.shut(id, "calls fail", (o == Outcome::Error).then_some(took), out);
         }
     }
 
@@ -770,6 +781,10 @@
         if self.stop_at.is_some_and(|stop| lane.is_none_or(|l| ends(l) > stop)) {
             return false;
         }
+        // A trial without the time for an answer shows nothing, and would count as failed.
+        if trial && m.due - self.now < lane.and_then(|l| l.latency).map_or(0.0, |(mean, dev)| mean + dev) {
+            return false;
+        }
         if c.effect == Effect::Unsafe {
             // An unsafe request is lost by any failure that may have run: it waits for a lane that works.
             let share = lane.map_or(0.0, |l| l.share);
@@ -821,10 +836,13 @@
                 }
             }
             let fitting: Vec<u64> = fitting.collect();
-            // A trial spends what has least to lose: a request that may have run already and whose window
-            // closes, else a probe where the site takes probes, else what is safe, else anything.
-            let spare = fitting.iter().filter(|id| self.msgs[id].maybe.is_some());
-            if let Some(id) = spare.min_by_key(|id| self.msgs[id].seq) {
+            // A trial spends what has nothing to lose by it: what is worth most of what is safe to repeat or
+            // may have run already, else a probe where the site takes probes, else anything.
+            let spare = |id: &&u64| {
+                let m = &self.msgs[*id];
+                m.maybe.is_some() || self.s.classes[m.class].effect == Effect::Safe
+            };
+            if let Some(id) = fitting.iter().find(spare) {
                 return Some((*id, host.clone()));
             }
             let lane = self.lane_of(host, &self.hosts[host]);
@@ -836,8 +854,7 @@
                 out.push(Action::Probe { endpoint: host.clone() });
                 return None;
             }
-            let safe = |id: &&u64| self.s.classes[self.msgs[*id].class].effect == Effect::Safe;
-            if let Some(id) = fitting.iter().find(safe).or(fitting.first()) {
+            if let Some(id) = fitting.first() {
                 return Some((*id, host.clone()));
             }
         }
@@ -905,7 +922,7 @@
         for (id, count) in late {
             let fails = self.lanes.get(&id).map_or(0, |l| l.fails);
             if count + fails >= 2 {
-                self.shut(&id, "no answers", out);
+                self.shut(&id, "no answers", None, out);
                 self.lanes.entry(id).and_modify(|l| l.unproved = fails == 0);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,8 @@
     pub backoff: f64,
     pub trial_out: bool,
     pub probe_good: bool,
+    /// Out, and what failed last was answered: it is there, but fails.
+    pub answers: bool,
     pub good: u32,
     pub failing: bool,
     pub before: f64,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -260,3 +260,34 @@
     rig.give(&[Event::Discovery(Discovery::Whole(vec![endpoint("h7", 3)]))]);
     assert!(!rig.ask(SAFE, 5).1 && rig.ask(SAFE, 3).1, "what a whole list leaves out is gone");
 }
+
+/// churn+long 4240: a trial was spent on a request with 3 ms left, and its time-out put the next one off by 2 s.
+#[test]
+fn a_trial_needs_the_time_for_an_answer() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.warm_up(0, 20, 100.0);
+    let asked: Vec<_> = (0..6).map(|_| rig.request(SAFE, 0)).collect();
+    rig.give(&asked.iter().map(|x| x.1.clone()).collect::<Vec<_>>());
+    rig.now += 10.0;
+    rig.give(&asked.iter().map(|x| ended(x.0, 0, Outcome::Broken, 10.0)).collect::<Vec<_>>());
+    assert!(rig.logged("out"));
+    assert!(rig.wait(9930.0).is_empty(), "60 ms are left, and an answer takes 100");
+    assert!(rig.ask(SAFE, 0).1, "what comes now is the trial");
+}
+
+/// churn+long 4240: calls sent before most failed came in late, two of them were taken for a return, and what was
+/// sent on it failed.
+#[test]
+fn what_was_sent_before_the_errors_proves_no_return() {
+    let mut rig = Rig::new(Settings { slots: 16, ..settings() }, 1);
+    rig.warm_up(0, 100, 50.0);
+    let asked: Vec<_> = (0..9).map(|_| rig.request(SAFE, 0)).collect();
+    assert_eq!(rig.give(&asked.iter().map(|x| x.1.clone()).collect::<Vec<_>>()).len(), 9);
+    rig.now += 1.0;
+    rig.give(&asked[..6].iter().map(|x| ended(x.0, 0, Outcome::Error, 1.0)).collect::<Vec<_>>());
+    assert!(rig.logged("out"));
+    for (id, _) in &asked[6..] {
+        rig.end(*id, 0, Outcome::Delivered, 20.0);
+        assert!(!rig.logged("ramping"));
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -815,3 +815,34 @@
         done.then_some(())
     });
 }
+
+/// A destination that answers with errors is there: trials go on as fast as it bears cold, so that its return shows
+/// at once, and not only when what is held for it has run out of time.
+#[test]
+fn a_destination_that_answers_with_errors_is_found_back_in_time() {
+    const WELL: usize = 60;
+    const SICK: usize = 20;
+    const SICK_END: usize = WELL + SICK;
+    let host = Host::new(|_, before| match before {
+        WELL..SICK_END => Reply::Status(500),
+        _ => Reply::Status(200),
+    });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["settings"]["Limits"]["MaxAttempts"] = json!(40);
+    let relay = Relay::with(config, &agent);
+    for n in 0..WELL {
+        relay.take("safe", &format!("w{n}"), 1);
+    }
+    host.wait_calls(WELL);
+    let ids: Vec<_> = (0..12).map(|n| format!("m{n}")).collect();
+    ids.iter().for_each(|id| relay.take("safe", id, 1));
+    until("the outage", || relay.logged("destination 1 out").then_some(()));
+    host.wait_calls(WELL + SICK);
+    until("their ends", || {
+        let over = |id: &String| host.answered(id) || !agent.notices_of(id).is_empty();
+        ids.iter().all(over).then_some(())
+    });
+    let given_up = ids.iter().filter(|id| !agent.notices_of(id).is_empty()).count();
+    assert_eq!(given_up, 0, "of {} messages", ids.len());
+}
