A pace that is not used does not grow

Ruled out: slots (4 to 18 of 18 out, rarely all); the hold (113 of 763); breaks (29 of 100 calls end as Stale or Broken at the worst, and 0 from 20 s on, where it delivers least); other destinations' limits. At fault in logic.rs: learn, which adds 3% of the pace for each delivery, without end, whether the pace is used or not. Mend: it grows to 1.25 of what was delivered of late, or this relay's part of a told limit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,8 @@
 const CUT: (f64, f64) = (0.85, 0.15); // of the pace, at a refusal; when sparse
 const CUT_MS: f64 = 500.0; // refusals within this time count as one
 const GAIN: (f64, f64) = (0.03, 0.3); // of the pace, for each delivery; when sparse
-const BURST_MS: f64 = 500.0; // what the bucket holds, in time at the pace
+const GROW: f64 = 1.25; // a pace grows up to this multiple of what was delivered of late
+const BURST_MS: f64 = 300.0; // what the bucket holds, at the pace: those of all relays fit a short queue
 const SHOWN_MARGIN: f64 = 0.65; // of what a returning destination delivers just now, taken for its capacity
 const SOON_MS: f64 = 2000.0; // the short memory for rates
 const LONG_MS: f64 = 15000.0; // the long one
@@ -305,7 +306,7 @@
         let &Seen { lane: id, host, outcome: o, took, wait, trial } = seen;
         let now = self.now;
         let part = self.lanes.get(id).and_then(|l| self.part(l));
-        let (_, few) = self.paces();
+        let (first, few) = self.paces();
         let Some(l) = self.lanes.get_mut(id) else { return };
         l.trial_out &= !trial;
         // A wait is told by a refusal, or by an answer that shows nothing else for certain.
@@ -324,9 +325,14 @@
                 if matches!(l.phase, Phase::Ramp(since) if now - since > self.s.warm_after_ms) {
                     (l.phase, l.backoff) = (Phase::Well, TRIAL_MS.0);
                 }
-                if let Some(pace) = &mut l.pace {
+                // A pace that is not used proves nothing (as with a congestion window, RFC 7661): growing all
+                // the same it ends far beyond any limit, and a told wait that ends lets a flood go. It also
+                // guards against a limit that falls. It could do harm where a rush begins after a refusal and
+                // no limit is told: then it takes some seconds to find what may be sent.
+                let proved = (GROW * l.soon.rate(now)).max(part.unwrap_or(0.0)).max(first);
+                if let Some(pace) = l.pace.as_mut().filter(|pace| **pace < proved) {
                     let gain = if *pace > few { GAIN.0 } else { GAIN.1 };
-                    *pace += gain * part.unwrap_or(*pace).max(*pace);
+                    *pace = (*pace + gain * part.unwrap_or(*pace).max(*pace)).min(proved);
                 }
                 l.pace = l.pace.filter(|_| now - l.cut_at <= LONG_MS);
                 if let Some(h) = self.hosts.get_mut(host) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -846,3 +846,40 @@
     let given_up = ids.iter().filter(|id| !agent.notices_of(id).is_empty()).count();
     assert_eq!(given_up, 0, "of {} messages", ids.len());
 }
+
+/// A destination over its limit is paced by what it delivers: a pace that goes on growing while little is sent is no
+/// pace, and when a rush comes it goes out all at once, to be refused.
+#[test]
+fn a_pace_that_was_not_used_does_not_grow() {
+    const REPORT: &str = "X-Load-Report: {\"x0\":0.5,\"x1\":40}\r\n";
+    const RUSH: usize = 46;
+    let host = Host::new(|call, before| match before {
+        0 => Reply::With(503, REPORT),
+        1..4 => Reply::With(200, REPORT),
+        _ if call.id().starts_with("rush") => Reply::Late(400),
+        _ => Reply::Late(25),
+    });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["settings"]["Domain"]["Slots"] = json!(64);
+    config["settings"]["Limits"]["MaxOpen"] = json!(200);
+    let relay = Relay::with(config, &agent);
+    let mut client = relay.client();
+    let mut take = |id: &str| assert_eq!(client.hand_in("safe", id, 1, 4000, b"").status(), 202);
+    // One after the other, they come at 40 a second at most.
+    for n in 0..100 {
+        let id = format!("m{n}");
+        take(&id);
+        until("its answer", || host.answered(&id).then_some(()));
+    }
+    (0..RUSH).for_each(|n| take(&format!("rush{n}")));
+    until("the rush", || {
+        (host.heard().iter().filter(|h| h.id().starts_with("rush")).count() >= RUSH).then_some(())
+    });
+    let calls: Vec<_> =
+        host.heard().into_iter().filter(|h| h.id().starts_with("rush")).map(|h| h.at).collect();
+    let first = calls.iter().min().copied().unwrap();
+    let at_once = calls.iter().filter(|at| **at - first < Duration::from_millis(200)).count();
+    // A bucket of 0.3 s at 50 a second, and 0.2 s more; the rest is room for a machine that stalls.
+    assert!(at_once <= 38, "{at_once} of {RUSH} at once");
+}
