A refusal after a limit has fallen sets the pace by the new one

Each wait that ends lets out a bucket for the old limit. At fault in logic.rs: slow, which starts each cut from the last pace. Mend: it starts from what is delivered or told, if that is less.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -400,7 +400,9 @@
         let part = self.lanes.get(id).and_then(|l| self.part(l)).unwrap_or(0.0);
         let Some(l) = self.lanes.get_mut(id) else { return };
         if now - l.cut_at > CUT_MS {
-            let had = l.pace.unwrap_or(l.soon.rate(now));
+            // A limit that has fallen shows in what is delivered and told: the cut starts from there.
+            let proved = (GROW * l.soon.rate(now)).max(part).max(first);
+            let had = l.pace.map_or(l.soon.rate(now), |pace| pace.min(proved));
             // The first cut stops at a small pace, or this relay's part of a told limit; later ones go on.
             let first = (part * 0.8).max(first);
             let floor = if l.pace.is_none() { first } else { (0.9 / self.s.relays as f64).min(first) };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -847,39 +847,64 @@
     assert_eq!(given_up, 0, "of {} messages", ids.len());
 }
 
-/// A destination over its limit is paced by what it delivers: a pace that goes on growing while little is sent is no
-/// pace, and when a rush comes it goes out all at once, to be refused.
-#[test]
-fn a_pace_that_was_not_used_does_not_grow() {
-    const REPORT: &str = "X-Load-Report: {\"x0\":0.5,\"x1\":40}\r\n";
+/// Hands in a hundred messages, one after the other and so at 40 a second at most, then `last`, and then a rush;
+/// returns how many of the rush go out within 200 ms.
+fn rush_after(script: impl Fn(&Heard) -> Option<Reply> + Send + Sync + 'static, last: &[&str]) -> usize {
     const RUSH: usize = 46;
-    let host = Host::new(|call, before| match before {
-        0 => Reply::With(503, REPORT),
-        1..4 => Reply::With(200, REPORT),
-        _ if call.id().starts_with("rush") => Reply::Late(400),
-        _ => Reply::Late(25),
+    let host = Host::new(move |call, _| {
+        let late = if call.id().starts_with("rush") { 400 } else { 25 };
+        script(call).unwrap_or(Reply::Late(late))
     });
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
-    config["settings"]["Domain"]["Slots"] = json!(64);
+    config["settings"]["Domain"]["Slots"] = json!(100);
     config["settings"]["Limits"]["MaxOpen"] = json!(200);
     let relay = Relay::with(config, &agent);
     let mut client = relay.client();
     let mut take = |id: &str| assert_eq!(client.hand_in("safe", id, 1, 4000, b"").status(), 202);
-    // One after the other, they come at 40 a second at most.
-    for n in 0..100 {
-        let id = format!("m{n}");
-        take(&id);
-        until("its answer", || host.answered(&id).then_some(()));
+    let steady: Vec<_> = (0..100).map(|n| format!("m{n}")).collect();
+    for id in steady.iter().map(String::as_str).chain(last.iter().copied()) {
+        take(id);
+        until("its answer", || (host.calls_of(id) > 0 && host.answered(id)).then_some(()));
     }
     (0..RUSH).for_each(|n| take(&format!("rush{n}")));
-    until("the rush", || {
-        (host.heard().iter().filter(|h| h.id().starts_with("rush")).count() >= RUSH).then_some(())
-    });
-    let calls: Vec<_> =
-        host.heard().into_iter().filter(|h| h.id().starts_with("rush")).map(|h| h.at).collect();
-    let first = calls.iter().min().copied().unwrap();
-    let at_once = calls.iter().filter(|at| **at - first < Duration::from_millis(200)).count();
-    // A bucket of 0.3 s at 50 a second, and 0.2 s more; the rest is room for a machine that stalls.
-    assert!(at_once <= 38, "{at_once} of {RUSH} at once");
+    let of_rush = || host.heard().into_iter().filter(|h| h.id().starts_with("rush")).map(|h| h.at);
+    until("the rush", || (of_rush().count() >= RUSH).then_some(()));
+    let first = of_rush().min().expect("the rush");
+    of_rush().filter(|at| *at - first < Duration::from_millis(200)).count()
+}
+
+/// What a rush may send at once: a bucket of 0.3 s at 50 a second, and 0.2 s more; the rest is room for a machine
+/// that stalls.
+const PACED: usize = 38;
+
+/// A destination over its limit is paced by what it delivers: a pace that goes on growing while little is sent is no
+/// pace, and when a rush comes it goes out all at once, to be refused.
+#[test]
+fn a_pace_that_was_not_used_does_not_grow() {
+    const REPORT: &str = "X-Load-Report: {\"x0\":0.5,\"x1\":40}\r\n";
+    let refused = std::sync::atomic::AtomicBool::default();
+    let first = move |call: &Heard| match call.id() {
+        "m0" if !refused.swap(true, std::sync::atomic::Ordering::SeqCst) => Some(Reply::With(503, REPORT)),
+        "m1" => Some(Reply::With(200, REPORT)),
+        _ => None,
+    };
+    let at_once = rush_after(first, &[]);
+    assert!(at_once <= PACED, "{at_once} at once");
+}
+
+/// A limit that has fallen far shows in what is delivered and told: the next refusal sets the pace by that.
+#[test]
+fn a_refusal_after_a_limit_has_fallen_sets_the_pace_by_the_new_one() {
+    const HIGH: &str = "X-Load-Report: {\"x0\":0.5,\"x1\":4000}\r\n";
+    const LOW: &str = "X-Load-Report: {\"x0\":0.0,\"x1\":40}\r\n";
+    let refused = std::sync::Mutex::new(std::collections::HashSet::new());
+    let twice = move |call: &Heard| match call.id() {
+        "m0" if refused.lock().unwrap().insert(0) => Some(Reply::With(503, HIGH)),
+        "full" if refused.lock().unwrap().insert(1) => Some(Reply::With(503, LOW)),
+        "m1" => Some(Reply::With(200, LOW)),
+        _ => None,
+    };
+    let at_once = rush_after(twice, &["full"]);
+    assert!(at_once <= PACED, "{at_once} at once");
 }
