--- a/benches/sockets.rs
+++ b/crates/daemon/benches/sockets.rs
@@ -16,9 +16,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-#[path = "../tests/sockets/mod.rs"]
-mod sockets;
-use sockets::{config, until, Agent, Relay};
+use mulleinslip_testkit::{config, program, until, Agent, Program, Relay};
+
+const PROGRAM: Program = program!();
 
 /// Clients' connections, each with one request at a time.
 const CLIENTS: usize = 16;
@@ -188,12 +188,69 @@
         class["DeadlineMs"] = json!(900_000.0);
     }
     config["limits"] = json!({"cores": 1.0, "memory_mb": 512, "sockets": 1024, "disk_mb": 256});
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     until("the list", || (relay.hand_in("safe", "first", 0).status() == 202).then_some(()));
     hand_in(relay.address, "held", held, |n| 1 + n as u64 % SLOW);
     relay
 }
 
+/// What bad clients send at full speed, and the answer that is due.
+const BAD: [(&str, u16, &str); 5] = [
+    ("no such class", 404, "POST /none HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"),
+    ("no id", 400, "POST /safe HTTP/1.1\r\nHost: x\r\nX-Caller: acme\r\nContent-Length: 0\r\n\r\n"),
+    (
+        "two lengths",
+        400,
+        "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: a\r\nTransfer-Encoding: chunked\r\n\
+         Content-Length: 0\r\n\r\n0\r\n\r\n",
+    ),
+    (
+        "unknown destination",
+        503,
+        "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: a\r\nX-Caller: acme\r\nX-Budget: 900m\r\n\
+         Content-Length: 0\r\nX-Envelope: dest=999999\r\n\r\n",
+    ),
+    // Taken on before, and held: the same message again and again.
+    (
+        "handed in again",
+        202,
+        "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: again-0\r\nX-Caller: acme\r\nX-Budget: 900000m\r\n\
+         Content-Length: 0\r\nX-Envelope: dest=1\r\n\r\n",
+    ),
+];
+const BAD_REQUESTS: usize = 4000;
+
+/// Sends one kind of them from all clients, as fast as answers come; gives CPU a request.
+fn flood(relay: &Relay, status: u16, request: &'static str) -> f64 {
+    let (cpu, to) = (cpu_us(relay.child.id()), relay.address);
+    let client = move || {
+        let mut stream: Option<TcpStream> = None;
+        let mut kept = Vec::new();
+        for _ in 0..BAD_REQUESTS / CLIENTS {
+            let open = stream.get_or_insert_with(|| TcpStream::connect(to).unwrap());
+            open.write_all(request.as_bytes()).unwrap();
+            assert_eq!(read_one(open, &mut kept), Some(status), "{request}");
+            // The relay ends the connection after what can't be taken.
+            if (400..500).contains(&status) {
+                (stream, kept) = (None, Vec::new());
+            }
+        }
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|_| std::thread::spawn(client)).collect();
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    (cpu_us(relay.child.id()) - cpu) / BAD_REQUESTS as f64
+}
+
+fn bad_clients(relays: &[Relay], sizes: &[usize]) {
+    println!("\nbad clients, CPU a request in us, medians of {ROUNDS} rounds");
+    println!("{:<24} {}", "held", sizes.iter().map(|s| format!("{s:>10}")).collect::<String>());
+    relays.iter().for_each(|r| hand_in(r.address, "again", 1, |_| 1));
+    for (name, status, request) in BAD {
+        let all = |r: &Relay| median((0..ROUNDS).map(|_| flood(r, status, request)).collect());
+        println!("{name:<24} {}", relays.iter().map(|r| format!("{:>10.1}", all(r))).collect::<String>());
+    }
+}
+
 fn median(mut all: Vec<f64>) -> f64 {
     all.sort_by(f64::total_cmp);
     all[all.len() / 2]
@@ -238,4 +295,5 @@
         let (cpu, rate, ratio) = (of(at, 0), of(at, 1), of(at, 2));
         println!("{name:<24} {cpu:>11.1} us {rate:>12.0} {ratio:>14.2} {:>14.2}", ratio / of(1, 2));
     }
+    bad_clients(&relays, &sizes);
 }
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,121 @@
+//! What the relay is told at its start: the environment and config.json, as typed values.
+
+use linenhall::Settings;
+use mulleinslip_engine::Names;
+use mulleinslip_http::{List, ListNames};
+use mulleinslip_settings::{FileSettings, Read};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// All that the relay is told, checked.
+pub struct Config {
+    /// The configuration's file, to be read again at SIGHUP.
+    pub file: PathBuf,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub sockets: usize,
+    pub disk_bytes: u64,
+    pub known: List,
+    pub settings: Settings,
+    pub names: Names,
+    pub list_names: ListNames,
+    pub connect_timeout: Duration,
+    /// Columns of a load report, in the order in which the module reads them.
+    pub report_columns: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    limits: FileLimits,
+    #[serde(default)]
+    known: List,
+    settings: FileSettings,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    sockets: usize,
+    disk_mb: f64,
+}
+
+fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what} cannot be read: {text}"))
+}
+
+/// An address from the environment, or else from the configuration.
+fn told(what: &str, env: &str, file: Option<&String>) -> Result<SocketAddr, String> {
+    let text = std::env::var(env).ok().or_else(|| file.cloned());
+    let text =
+        text.ok_or_else(|| format!("{what} is missing: neither {env} nor the configuration has it"))?;
+    address(what, &text)
+}
+
+/// Reads and checks the file.
+fn load(path: &Path) -> Result<(File, Read), String> {
+    let named = |e: &dyn std::fmt::Display| format!("configuration {}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| named(&e))?;
+    let file: File = serde_json::from_str(&text).map_err(|e| named(&e))?;
+    if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e6) {
+        return Err(format!("limits.disk_mb cannot be read: {}", file.limits.disk_mb));
+    }
+    let read = file.settings.read()?;
+    Ok((file, read))
+}
+
+/// The address of discovery in the file as it stands now. The environment does not count: it is as old as the
+/// process. Nothing of a file that can't be read whole is taken over.
+pub fn discovery_now(path: &Path) -> Result<SocketAddr, String> {
+    let (file, _) = load(path)?;
+    address("discovery", &file.discovery.ok_or("discovery is missing in the configuration")?)
+}
+
+/// Checks a file without serving. Gives what it says, in a line.
+pub fn check(path: &Path) -> Result<String, String> {
+    let (file, Read { settings, .. }) = load(path)?;
+    for (what, text) in [("listen", &file.listen), ("discovery", &file.discovery)] {
+        text.as_ref().map(|t| address(what, t)).transpose()?;
+    }
+    Ok(format!(
+        "good; {} classes, {} tenants, {} slots, {} messages at most, {} hosts known, a journal of {} MB at most",
+        settings.classes.len(),
+        settings.tenant_rates.len(),
+        settings.slots,
+        settings.max_open,
+        file.known.endpoints.len(),
+        file.limits.disk_mb
+    ))
+}
+
+/// Reads the environment and the configuration that it names. The error is one line for the log.
+pub fn read() -> Result<Config, String> {
+    let path: PathBuf = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into();
+    let (file, read) = load(&path)?;
+    let state = std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?;
+    Ok(Config {
+        file: path,
+        name: std::env::var("ROUTER_NAME").unwrap_or(file.name),
+        listen: told("listen", "ROUTER_LISTEN", file.listen.as_ref())?,
+        discovery: told("discovery", "ROUTER_DISCOVERY", file.discovery.as_ref())?,
+        state: state.into(),
+        seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
+        sockets: file.limits.sockets,
+        disk_bytes: (file.limits.disk_mb * 1e6) as u64,
+        settings: read.settings,
+        names: Names { classes: read.classes, tenants: read.tenants },
+        list_names: ListNames { zones: read.zones, kinds: read.kinds },
+        connect_timeout: Duration::from_secs_f64(read.connect_timeout_ms / 1000.0),
+        report_columns: read.report_columns,
+        known: file.known,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,22 @@
+//! mulleinslip, the relay on real sockets: the program as a library, so that others can be it as well.
+
+mod cli;
+mod config;
+mod serve;
+
+use std::process::ExitCode;
+
+/// The program, with these arguments.
+pub fn main(args: &[String]) -> ExitCode {
+    let done = match cli::run(args) {
+        cli::Wanted::Serve => serve::run(),
+        cli::Wanted::Done(done) => done,
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            serve::log(&why.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/serve.rs
@@ -0,0 +1,139 @@
+//! The order in which the parts start, and signals.
+
+use crate::config::{self, Config};
+use mulleinslip_engine::Engine;
+use mulleinslip_http::{
+    run_notices, CarrierSettings, Clients, Discovery, HttpCarrier, HttpFront, Intake, List, Ticket,
+};
+use mulleinslip_journal::{Journal, Left};
+use mulleinslip_runtime::{Clock, Runtime, StopTimes};
+use std::cell::Cell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+/// The first list is waited for this long; then the list in the configuration has to do.
+const FIRST_LIST: Duration = Duration::from_millis(400);
+/// How long the folder may still belong to another process.
+const FOLDER_FREE: Duration = Duration::from_secs(1);
+/// From SIGTERM until idle client connections are closed: until then new ones may come.
+const KEEP_LISTENING: Duration = Duration::from_millis(450);
+/// SIGKILL may come 3.7 s after SIGTERM; connections go on coming for up to 0.4 s.
+const STOP: StopTimes = StopTimes { calls_end_ms: 3500.0, linger_ms: 600.0, exit_ms: 3600.0 };
+/// Descriptors for all that is not a connection of a client or to a host: standard streams 3, event loop and
+/// signals 5, listener and one more client than there are places 2, journal 2, discovery 2, notices 2, the
+/// configuration 1; the rest is room for what the runtime may need.
+const OTHER_DESCRIPTORS: usize = 32;
+
+/// Serves as the environment says, until a signal. The error is one line.
+pub fn run() -> Result<(), String> {
+    // A task that panics would leave its message without an end and nobody the wiser; a process that ends
+    // starts again from its journal.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+    let config = config::read()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+}
+
+/// A line for the log.
+pub fn log(words: &str) {
+    eprintln!("mulleinslip: {words}");
+}
+
+/// Opens the folder. The process before this one may have been told to go a moment ago.
+async fn open(config: &Config) -> std::io::Result<(Journal, Left)> {
+    let start = Instant::now();
+    loop {
+        match Journal::open(config.state.clone(), config.disk_bytes) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < FOLDER_FREE => {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            other => return other,
+        }
+    }
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let clock = Clock::start();
+    // Before anything that takes time: without a handler a signal ends the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let opened = open(&config).await;
+    let (journal, left) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    left.notes.iter().for_each(|note| log(note));
+
+    let connections = config.sockets.saturating_sub(OTHER_DESCRIPTORS).max(2) / 2;
+    let carrier = Rc::new(HttpCarrier::new(CarrierSettings {
+        most_open: connections,
+        connect_timeout: config.connect_timeout,
+        conn_idle_ms: config.settings.conn_idle_ms,
+        names: config.list_names,
+        apart: config.settings.apart.clone(),
+        report_columns: config.report_columns,
+    }));
+    let (notices, notices_inbox) = mpsc::unbounded_channel();
+    let queue = Runtime::<Journal, Ticket, HttpCarrier, HttpFront>::queue();
+    let handle = queue.0.clone();
+    let engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
+    let mut runtime = Runtime::new(engine, carrier.clone(), HttpFront::new(notices), clock, queue, log);
+
+    // What discovery's agent has counts as told: a host that has left meanwhile must not be sent to.
+    let mut agent = Discovery::new(config.discovery);
+    let first = tokio::time::timeout(FIRST_LIST, agent.ask(None)).await;
+    let first = first.map_err(|_| "no answer in time".to_string()).and_then(|list| list);
+    let first = first.inspect_err(|e| log(&format!("first list: {e}; starting from the known one")));
+    let index = first.as_ref().ok().map(|list| list.index);
+    runtime.restore([Some(config.known), first.ok()].into_iter().flatten().collect(), left);
+
+    let (moved, place) = watch::channel(config.discovery);
+    spawn_local(run_notices(place.clone(), notices_inbox, handle.clone()));
+    let news = handle.clone();
+    spawn_local(agent.watch(index, place, move |list: List| news.list(list)));
+    let file = config.file;
+    spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match config::discovery_now(&file) {
+                Ok(address) => {
+                    log(&format!("SIGHUP; discovery and notices at {address}"));
+                    moved.send_if_modified(|at| std::mem::replace(at, address) != address);
+                }
+                Err(e) => log(&format!("SIGHUP; nothing changed: {}", e.replace('\n', " "))),
+            }
+        }
+    });
+    spawn_local(async move { carrier.sweep().await });
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let listening = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let intake = Rc::new(Intake {
+        names: config.names,
+        classes: config.settings.classes.clone(),
+        engine: handle.clone(),
+        clock,
+        stopping: Cell::new(false),
+    });
+    let clients = Clients::new(intake.clone(), connections);
+    let (close_idle, close) = watch::channel(false);
+    spawn_local(clients.clone().sweep());
+    spawn_local(clients.serve(listener, close));
+    spawn_local(async move {
+        terminate.recv().await;
+        log("SIGTERM; taking on nothing more");
+        intake.stopping.set(true);
+        let _stopped_already = handle.stop(STOP);
+        tokio::time::sleep(KEEP_LISTENING).await;
+        let _no_clients = close_idle.send(true);
+    });
+    eprintln!("mulleinslip: {} serves on {listening}", config.name);
+    runtime.run().await;
+    Ok(())
+}
--- a/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -1,15 +1,16 @@
 //! The relay as a program, over loopback sockets.
-mod sockets;
+use mulleinslip_testkit::*;
 use serde_json::json;
-use sockets::*;
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
+const PROGRAM: Program = program!();
+
 #[test]
 fn a_message_is_taken_on_and_delivered_as_it_came() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 7, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let body: Vec<u8> = (0..=255).cycle().take(64 * 1024).collect();
     let answer = relay.client().hand_in("keyed", "m1", 7, 4000, &body);
     assert_eq!(answer.status(), 202);
@@ -29,7 +30,7 @@
 fn health_is_answered_and_connections_are_kept_on_both_sides() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let mut client = relay.client();
     client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
     assert_eq!(client.answer().unwrap().status(), 200);
@@ -83,7 +84,7 @@
     for (row, (reply, class, calls, notice)) in rows.iter().enumerate() {
         let host = Host::first(vec![reply.clone()]);
         let agent = Agent::new(&[("a", 1, &host)]);
-        let relay = Relay::start(&agent);
+        let relay = Relay::start(PROGRAM, &agent);
         relay.take(class, "m", 1);
         host.wait_calls(*calls);
         if *notice {
@@ -104,7 +105,7 @@
     let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     agent.list("a", 1, gone.local_addr().unwrap(), "active");
     drop(gone);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     for n in 0..4 {
         relay.take("unsafe", &format!("m{n}"), 1);
     }
@@ -116,7 +117,7 @@
 fn a_told_wait_is_heeded_for_every_message() {
     let host = Host::first(vec![Reply::With(429, "Retry-After: 0.6\r\n")]);
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "m0", 1);
     let told = host.wait_calls(1)[0].at;
     // Taken on while the wait binds.
@@ -133,7 +134,7 @@
 fn a_host_that_drains_gets_nothing_new() {
     let (old, new) = (Host::ok(), Host::ok());
     let agent = Agent::new(&[("old", 1, &old)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "before", 1);
     old.wait_calls(1);
     let watched = until("a watch", || Some(agent.watches()).filter(|w| *w > 0));
@@ -154,7 +155,7 @@
 fn a_stale_idle_connection_is_noticed_before_anything_is_written() {
     let host = Host::new(|_, n| if n == 0 { Reply::AndClose } else { Reply::Status(200) });
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "first", 1);
     until("the close", || (host.closed.load(std::sync::atomic::Ordering::SeqCst) == 1).then_some(()));
     relay.take("unsafe", "second", 1);
@@ -169,7 +170,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["settings"]["Profiles"][1]["DedupWindowMs"] = json!(1.0);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     relay.take("keyed", "m", 1);
     assert_eq!(agent.wait_notice("m")["status"], "undeliverable");
     assert_eq!(host.calls_of("m"), 1);
@@ -179,7 +180,7 @@
 fn messages_of_one_key_go_one_at_a_time_and_in_order() {
     let host = Host::new(|_, n| if n == 1 { Reply::Status(500) } else { Reply::Late(20) });
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let mut client = relay.client();
     for n in 0..4 {
         assert_eq!(client.hand_in("ordered?about=k", &format!("m{n}"), 1, 4000, b"").status(), 202);
@@ -197,7 +198,7 @@
     let agent = Agent::new(&[("a", 1, &silent), ("b", 2, &fine)]);
     agent.hold(3);
     agent.reply_to_notices(vec![500; 10_000]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "ended", 2);
     fine.wait_calls(1);
     relay.take("safe", "held", 3);
@@ -239,7 +240,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["settings"]["Safety"]["OrderPauseMs"] = json!(800.0);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     relay.client().hand_in("ordered?about=k", "m0", 1, 4000, b"");
     relay.client().hand_in("ordered?about=k", "m1", 1, 4000, b"");
     host.wait_calls(1);
@@ -255,7 +256,7 @@
 fn a_host_at_a_new_address_is_called_there() {
     let (old, new) = (Host::ok(), Host::ok());
     let agent = Agent::new(&[("a", 1, &old)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     old.wait_reuse(&relay, 1);
     let watched = agent.watches();
     agent.list("a", 1, new.address, "active");
@@ -274,7 +275,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["settings"]["Limits"]["MaxAttempts"] = json!(3);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     relay.take("safe", "m", 1);
     host.wait_calls(3);
     let _relay = relay.killed(|_| {});
@@ -287,7 +288,7 @@
 fn overdue_messages_end_at_the_restart() {
     let agent = Agent::new(&[]);
     agent.hold(1);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     assert_eq!(relay.client().hand_in("safe", "m", 1, 300, b"").status(), 202);
     let _relay = relay.killed(|_| std::thread::sleep(Duration::from_millis(400)));
     assert_eq!(agent.wait_notice("m")["status"], "deferred");
@@ -299,7 +300,7 @@
     let agent = Agent::new(&[]);
     agent.hold(1);
     agent.hold(9);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     for id in ["one", "two", "three"] {
         relay.take("safe", id, 1);
     }
@@ -327,7 +328,7 @@
     agent.hold(1);
     let mut config = config(agent.address);
     config["limits"]["disk_mb"] = json!(0.5);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     let body = vec![7; 40_000];
     let mut client = relay.client();
     let answers: Vec<_> = (0..12).map(|n| client.hand_in("safe", &format!("m{n}"), 1, 4000, &body)).collect();
@@ -354,7 +355,7 @@
     agent.hold(1);
     let mut config = config(agent.address);
     config["settings"]["Limits"]["MaxOpen"] = json!(4);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     let statuses: Vec<_> = (0..8).map(|n| relay.hand_in("safe", &format!("m{n}"), 1).status()).collect();
     let taken: Vec<_> = (0..8).filter(|n| statuses[*n] == 202).collect();
     assert!(taken.len() < 8 && statuses.iter().all(|s| [202, 503].contains(s)), "{statuses:?}");
@@ -367,7 +368,7 @@
 fn at_sigterm_nothing_is_taken_on_and_nothing_read_is_cut() {
     let host = Host::new(|_, _| Reply::Late(900));
     let agent = Agent::new(&[("a", 1, &host)]);
-    let mut relay = Relay::start(&agent);
+    let mut relay = Relay::start(PROGRAM, &agent);
     let mut kept = relay.client();
     assert_eq!(kept.hand_in("unsafe", "out", 1, 4000, b"").status(), 202);
     host.wait_calls(1);
@@ -396,7 +397,7 @@
     agent.hold(1);
     let mut config = config(agent.address);
     config["settings"]["Profiles"][2]["DeadlineMs"] = json!(60_000.0);
-    let mut relay = Relay::with(config, &agent);
+    let mut relay = Relay::with(PROGRAM, config, &agent);
     relay.client().hand_in("unsafe", "held", 1, 60_000, b"");
     relay.terminate();
     until("the signal", || relay.logged("SIGTERM").then_some(()));
@@ -418,7 +419,7 @@
     let host = Host::new(|_, n| if n < 12 { Reply::Status(500) } else { Reply::Silent });
     let fine = Host::ok();
     let agent = Agent::new(&[("a", 1, &host), ("b", 2, &fine)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     for n in 0..6 {
         relay.take("safe", &format!("m{n}"), 1);
     }
@@ -437,7 +438,7 @@
     let agent = Agent::new(&[]);
     agent.hold(1);
     agent.reply_to_notices(vec![500, 503, 500]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     assert_eq!(relay.client().hand_in("safe", "m", 1, 50, b"").status(), 202);
     until("four notices", || (agent.notices_of("m").len() == 4).then_some(()));
     // Confirmed, it is not sent again: another message's notice comes without it.
@@ -452,7 +453,7 @@
 fn bad_requests_are_turned_away_and_the_relay_serves_on() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let good = [
         ("X-Call-Id", "m"),
         ("X-Caller", "acme"),
@@ -502,7 +503,7 @@
     let host = Host::ok();
     let agent = Agent::new(&[]);
     agent.hold(1);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "m", 1);
     relay.take("safe", "m", 1);
     agent.list("a", 1, host.address, "active");
@@ -519,7 +520,7 @@
     let mut config = config(agent.address);
     config["known"]["endpoints"] = json!([{"name": "a", "address": first.address.to_string(), "zone": "z",
         "type": "k", "group": 1, "status": "active", "weight": 1.0, "since_ms": 0}]);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     relay.take("safe", "m", 1);
     first.wait_calls(1);
     agent.list("b", 2, second.address, "active");
@@ -542,7 +543,7 @@
     for spoil in spoil {
         let mut config = config(agent.address);
         spoil(&mut config);
-        let (mut command, folder) = command(&config);
+        let (mut command, folder) = command(&PROGRAM, &config);
         let output = command.output().unwrap();
         assert!(!output.status.success());
         let log = String::from_utf8_lossy(&output.stderr);
@@ -556,7 +557,7 @@
 fn a_client_that_leaves_mid_body_is_owed_nothing() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let mut client = relay.client();
     let head = "POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: half\r\nX-Caller: acme\r\nX-Budget: 900m\r\n\
                 X-Envelope: dest=1\r\nContent-Length: 10\r\n\r\nfive.";
@@ -578,7 +579,7 @@
     old.hold(1);
     old.reply_to_notices(vec![500; 10_000]);
     let mut config = config(old.address);
-    let relay = Relay::with(config.clone(), &old);
+    let relay = Relay::with(PROGRAM, config.clone(), &old);
     until("a watch", || (old.watches() > 0).then_some(()));
     assert_eq!(relay.client().hand_in("safe", "ended", 1, 30, b"").status(), 202);
     old.wait_notice("ended");
@@ -624,7 +625,7 @@
 fn a_length_that_can_be_read_in_two_ways_is_refused_with_all_that_follows() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let hidden = head("hidden", 1, "Content-Length: 0\r\n");
     let (length, chunks) =
         (format!("Content-Length: {}\r\n", hidden.len() + 5), "Transfer-Encoding: chunked\r\n");
@@ -668,7 +669,7 @@
 fn silent_and_slow_clients_are_let_go() {
     let host = Host::ok();
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let good = head("half", 1, "Content-Length: 10\r\n") + "five.";
     for sent in ["", "\r\n", "POST /safe HT", &good[..60], &good] {
         let start = Instant::now();
@@ -704,7 +705,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["limits"]["sockets"] = json!(64);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     let mut silent = Vec::new();
     for n in 0..10 {
         (0..20).for_each(|_| silent.push(relay.client()));
@@ -725,7 +726,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["limits"]["sockets"] = json!(64);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     let mut first = relay.client();
     assert_eq!(first.hand_in("safe", "m0", 1, 4000, b"").header("Connection"), "");
     let _crowd: Vec<_> = (0..12).map(|_| relay.client()).collect();
@@ -738,7 +739,7 @@
 fn a_destination_in_no_list_is_refused_until_it_is_listed() {
     let host = Host::ok();
     let agent = Agent::new(&[]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     let answer = relay.hand_in("safe", "m", 7);
     assert_eq!(answer.status(), 503);
     assert!(answer.header("Retry-After").parse::<f64>().unwrap() > 0.0, "told when to come back");
@@ -759,7 +760,7 @@
     for behind in [TWICE, CHUNKS, "HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\nnoise"] {
         let host = Host::first(vec![Reply::Raw(behind), Reply::Status(504)]);
         let agent = Agent::new(&[("a", 1, &host)]);
-        let relay = Relay::start(&agent);
+        let relay = Relay::start(PROGRAM, &agent);
         relay.take("safe", "first", 1);
         host.wait_calls(1);
         relay.take("unsafe", "second", 1);
@@ -775,7 +776,7 @@
     let told = "HTTP/1.1 429 x\r\nRetry-After: 0.6\r\nContent-Length: 0\r\n\r\nnoise";
     let host = Host::first(vec![Reply::Raw(told)]);
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     relay.take("safe", "m", 1);
     let calls = host.wait_calls(2);
     let waited = calls[1].at - calls[0].at;
@@ -792,7 +793,7 @@
         false => Reply::Reset,
     });
     let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(&agent);
+    let relay = Relay::start(PROGRAM, &agent);
     // Six at once open six connections, which are dead when the next six come.
     for round in 0..6 {
         let ids: Vec<_> = (0..6).map(|n| format!("m{round}-{n}")).collect();
@@ -830,7 +831,7 @@
     let agent = Agent::new(&[("a", 1, &host)]);
     let mut config = config(agent.address);
     config["settings"]["Limits"]["MaxAttempts"] = json!(40);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     for n in 0..WELL {
         relay.take("safe", &format!("w{n}"), 1);
     }
@@ -859,7 +860,7 @@
     let mut config = config(agent.address);
     config["settings"]["Domain"]["Slots"] = json!(100);
     config["settings"]["Limits"]["MaxOpen"] = json!(200);
-    let relay = Relay::with(config, &agent);
+    let relay = Relay::with(PROGRAM, config, &agent);
     let mut client = relay.client();
     let mut take = |id: &str| assert_eq!(client.hand_in("safe", id, 1, 4000, b"").status(), 202);
     let steady: Vec<_> = (0..100).map(|n| format!("m{n}")).collect();
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,457 @@
+//! Events in, the module's actions out, and what is kept in between, in the order that the crate's page states.
+
+use crate::message::{Attempt, Ended, Final, Input, Message, Output, Told, Turned};
+use crate::open::{Ledger, Open, Out};
+use crate::places::Places;
+use crate::store::Store;
+use crate::timers::Timers;
+use bytes::Bytes;
+use linenhall::{Action, Discovery, Effect, Event, Outage, Outcome, Relay, Settings};
+use mulleinslip_journal::{Kept, KeptOutage, Left, Taken, Verdict};
+use std::collections::HashMap;
+use std::fmt;
+
+/// When to come again, for a message that is turned away before the module sees it.
+const COME_AGAIN_MS: f64 = 500.0;
+/// Final answers that may wait for their confirmation while messages are still taken on: at the busiest, minutes
+/// of them. Each takes some hundred bytes, here and in the store.
+const MOST_UNCONFIRMED: usize = 4096;
+
+/// What the store calls the module's numbers, so that they mean the same to a process with other settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Of the classes, by index.
+    pub classes: Vec<String>,
+    /// Of the tenants, by index.
+    pub tenants: Vec<String>,
+}
+
+/// Why an attempt must not be begun.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Held {
+    /// Nobody waits for it any more.
+    CalledOff,
+    /// The store could not keep it, for this reason.
+    NotKept(String),
+}
+
+impl fmt::Display for Held {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Held::CalledOff => f.write_str("called off"),
+            Held::NotKept(why) => write!(f, "journal: {why}; attempt not made"),
+        }
+    }
+}
+
+/// A message that the module has not answered for.
+struct Asking<T> {
+    id: u64,
+    taken: Taken,
+    ticket: T,
+}
+
+/// See the crate's page. `S` keeps what outlasts the process, `R` is what a carrier brings back.
+pub struct Engine<S, R> {
+    relay: Relay,
+    settings: Settings,
+    names: Names,
+    store: S,
+    open: Ledger<R>,
+    places: Places,
+    /// For so long a destination without hosts may yet get one in time for what is taken on for it.
+    replaced_within_ms: f64,
+    timers: Timers,
+    /// The version of the outages in the store.
+    outages: u64,
+    /// What the module has to hear of its last round's actions, in a round right after it.
+    follow_up: Vec<Event>,
+    stopping: bool,
+}
+
+impl<S: Store, R> Engine<S, R> {
+    /// An engine that has taken on nothing. `seed` is for the module's random numbers.
+    pub fn new(settings: Settings, seed: u64, names: Names, store: S) -> Engine<S, R> {
+        let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        Engine {
+            relay: Relay::new(settings.clone(), seed),
+            settings,
+            names,
+            store,
+            open: Ledger::default(),
+            places: Places::default(),
+            replaced_within_ms: longest.clamp(0.0, 1e9),
+            timers: Timers::default(),
+            outages: 0,
+            follow_up: Vec::new(),
+            stopping: false,
+        }
+    }
+
+    /// Tells the module what an earlier process left, together with the lists that are known: one round, and the
+    /// first.
+    pub fn restore<T>(&mut self, now: f64, lists: Vec<Discovery>, left: Left, out: &mut Vec<Output<T, R>>) {
+        let mut events = Vec::new();
+        for list in lists {
+            self.places.learn(&list, now, self.replaced_within_ms);
+            events.push(Event::Discovery(list));
+        }
+        events.push(Event::Outages(left.outages.iter().map(recalled).collect()));
+        for kept in left.kept {
+            self.open.used(kept.id);
+            events.extend(self.restored(kept, out));
+        }
+        self.round(now, &events, Vec::new(), out);
+    }
+
+    fn restored<T>(&mut self, kept: Kept, out: &mut Vec<Output<T, R>>) -> Option<Event> {
+        let Kept { id, taken, attempts, verdict } = kept;
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let made = attempts.iter().map(|a| a.number.saturating_add(1)).max().unwrap_or(0);
+        let first = attempts.iter().filter(|a| a.may_have_run).min_by(|a, b| a.at.total_cmp(&b.at));
+        let class = place(&self.names.classes, &taken.class);
+        let open = Open {
+            call_id: taken.call_id,
+            idempotency_key: taken.idempotency_key.map(Bytes::from),
+            body: taken.body.into(),
+            destination: taken.dest,
+            due: taken.due,
+            attempts: made,
+            out: Vec::new(),
+            may_have_run: first.is_some(),
+            over: false,
+            unconfirmed: false,
+            last: None,
+        };
+        self.open.insert(id, open);
+        // Given up already: only the answer is still owed. So it is for a class that is no more.
+        let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
+        let (Some(class), None) = (class, verdict) else {
+            self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), out);
+            return None;
+        };
+        Some(Event::Restored {
+            id,
+            class,
+            tenant: place(&self.names.tenants, &taken.tenant).unwrap_or(0),
+            key: taken.order_key,
+            due: taken.due,
+            destination: taken.dest,
+            attempts: made,
+            maybe: first.map(|a| (a.at, a.endpoint.clone())),
+            uncertain: attempts.iter().any(|a| a.may_run_yet),
+        })
+    }
+
+    /// Takes in what has happened, and the timers that are due.
+    pub fn handle<T>(
+        &mut self, now: f64, inputs: impl IntoIterator<Item = Input<T, R>>, out: &mut Vec<Output<T, R>>,
+    ) {
+        let (mut events, mut asking) = (Vec::new(), Vec::new());
+        for input in inputs {
+            match input {
+                Input::Handed(message, ticket) => {
+                    self.handed(now, *message, ticket, &mut events, &mut asking, out)
+                }
+                Input::Withdrawn { id } => events.extend(self.withdrawn(id, out)),
+                Input::Ended { id, attempt, took_ms, end } => {
+                    events.push(self.ended(id, attempt, took_ms, end, out))
+                }
+                Input::Probed { endpoint, outcome, took_ms, report } => {
+                    events.push(Event::Probed { endpoint, outcome, took_ms, report });
+                }
+                Input::Listed(list) => {
+                    self.places.learn(&list, now, self.replaced_within_ms);
+                    events.push(Event::Discovery(list));
+                }
+                Input::Confirmed(ids) => ids.into_iter().for_each(|id| self.confirmed(id, out)),
+                Input::Stop { calls_end_at } => {
+                    self.stopping = true;
+                    events.push(Event::Stopping { at: calls_end_at });
+                }
+            }
+        }
+        while let Some(token) = self.timers.due(now) {
+            events.push(Event::Timer { token });
+        }
+        if !events.is_empty() {
+            self.round(now, &events, asking, out);
+        }
+    }
+
+    /// When to come back at the latest, if nothing happens.
+    pub fn next_timer(&self) -> Option<f64> {
+        self.timers.next()
+    }
+
+    /// Whether nothing is owed and no attempt is out.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Messages that are not over, and final answers that wait for their confirmation.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.owed(), self.open.unconfirmed())
+    }
+
+    /// The first byte of an attempt is about to go out. On an error it must not, and the attempt ends as one that
+    /// was never sent.
+    pub fn begin(&mut self, now: f64, id: u64, attempt: u32, endpoint: &str) -> Result<(), Held> {
+        let out = self.open.get_mut(id).and_then(|o| o.out.iter_mut().find(|x| x.attempt == attempt));
+        let Some(out) = out.filter(|x| !x.called_off) else { return Err(Held::CalledOff) };
+        self.store.begun(id, attempt, now, endpoint).map_err(|e| Held::NotKept(e.to_string()))?;
+        out.begun = true;
+        Ok(())
+    }
+
+    fn handed<T>(
+        &mut self, now: f64, message: Message, ticket: T, events: &mut Vec<Event>,
+        asking: &mut Vec<Asking<T>>, out: &mut Vec<Output<T, R>>,
+    ) {
+        let known = self.open.known(&message.call_id);
+        let deciding = known.is_some_and(|id| asking.iter().any(|a| a.id == id));
+        if let Some(id) = known.filter(|_| !deciding) {
+            return out.push(Output::Told(Told::Known { id, ticket }));
+        }
+        let Some(class) = self.settings.classes.get(message.class) else {
+            return out.push(Output::Told(Told::Turned { ticket, why: Turned::Failed }));
+        };
+        let keyed = class.effect == Effect::Keyed;
+        let full = self.open.owed() >= self.settings.max_open || self.open.unconfirmed() >= MOST_UNCONFIRMED;
+        // A destination in no list may be one that is not listed yet.
+        if deciding || full || self.stopping || !self.places.knows(message.destination, now) {
+            let why = Turned::Refused { again_ms: Some(COME_AGAIN_MS) };
+            return out.push(Output::Told(Told::Turned { ticket, why }));
+        }
+        let id = self.open.number();
+        let Message { call_id, class, tenant, destination, due, order_key, idempotency_key, body } = message;
+        let taken = Taken {
+            call_id: call_id.clone(),
+            class: self.names.classes.get(class).cloned().unwrap_or_default(),
+            tenant: self.names.tenants.get(tenant).cloned().unwrap_or_default(),
+            order_key: order_key.clone(),
+            idempotency_key: idempotency_key.as_ref().map(|k| k.to_vec()),
+            due,
+            dest: destination,
+            body: body.to_vec(),
+        };
+        let open = Open {
+            call_id,
+            idempotency_key: idempotency_key.filter(|_| keyed),
+            body,
+            destination,
+            due,
+            attempts: 0,
+            out: Vec::new(),
+            may_have_run: false,
+            over: false,
+            unconfirmed: false,
+            last: None,
+        };
+        self.open.insert(id, open);
+        events.push(Event::Request { id, class, tenant, key: order_key, due, destination });
+        asking.push(Asking { id, taken, ticket });
+    }
+
+    fn withdrawn<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) -> Option<Event> {
+        self.open.get(id).filter(|o| !o.over)?;
+        self.open.over(id);
+        self.close(id, out);
+        Some(Event::Withdrawn { id })
+    }
+
+    fn ended<T>(
+        &mut self, id: u64, attempt: u32, took_ms: f64, end: Ended<R>, out: &mut Vec<Output<T, R>>,
+    ) -> Event {
+        let Ended { outcome, settled, wait_ms, report, response } = end;
+        let event = Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report };
+        let Some(open) = self.open.get_mut(id) else { return event };
+        let at = open.out.iter().position(|x| x.attempt == attempt);
+        let begun = at.is_some_and(|at| open.out.swap_remove(at).begun);
+        open.may_have_run |= !outcome.never_ran();
+        let was_over = open.over;
+        if settled && !was_over {
+            let answer = match response {
+                Some(r) if outcome == Outcome::Delivered => Final::Delivered(r),
+                r => Final::Over(r),
+            };
+            let call_id = open.call_id.clone();
+            self.open.over(id);
+            // What is over needs no outcome: its end is recorded at once.
+            self.close(id, out);
+            out.push(Output::Told(Told::Final { id, call_id, answer }));
+            return event;
+        }
+        if response.is_some() {
+            open.last = response;
+        }
+        if begun && !settled && !was_over {
+            let runs_yet =
+                matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Stale | Outcome::Cancelled);
+            if let Err(e) = self.store.outcome(id, attempt, !outcome.never_ran(), runs_yet) {
+                let words = format!("journal: {e}; a restart will take attempt {attempt} for open");
+                out.push(Output::Log(words));
+            }
+        }
+        self.open.remove_if_done(id);
+        event
+    }
+
+    /// One round of the module, and those that follow from it.
+    fn round<T>(&mut self, now: f64, events: &[Event], asking: Vec<Asking<T>>, out: &mut Vec<Output<T, R>>) {
+        let mut actions = Vec::new();
+        self.relay.handle(now, events, &mut actions);
+        // Senders hear first, as a delivery counts only once its sender has.
+        self.answer(asking, &actions, out);
+        for action in actions {
+            self.act(now, action, out);
+        }
+        // Each one reports attempts or messages that are no more, of which the last round made so many.
+        while !self.follow_up.is_empty() {
+            let (more, mut actions) = (std::mem::take(&mut self.follow_up), Vec::new());
+            self.relay.handle(now, &more, &mut actions);
+            for action in actions {
+                self.act(now, action, out);
+            }
+        }
+        let version = self.relay.outages_version();
+        if version != self.outages {
+            let kept = self.relay.outages().iter().map(kept_outage).collect();
+            if let Err(e) = self.store.outages(kept) {
+                out.push(Output::Log(format!("journal: {e}; outages not kept")));
+            }
+            self.outages = version;
+        }
+    }
+
+    /// Answers those whose messages the module has just seen: refused in the same round, a message was never owed
+    /// anything; else it is taken on once the store has it.
+    fn answer<T>(&mut self, asking: Vec<Asking<T>>, actions: &[Action], out: &mut Vec<Output<T, R>>) {
+        if asking.is_empty() {
+            return;
+        }
+        let ended = actions.iter().filter_map(|a| match a {
+            Action::Refuse { id, retry_after_ms } => {
+                Some((*id, Turned::Refused { again_ms: *retry_after_ms }))
+            }
+            Action::Fail { id } => Some((*id, Turned::Failed)),
+            _ => None,
+        });
+        let ended: HashMap<u64, Turned> = ended.collect();
+        for Asking { id, taken, ticket } in asking {
+            let why = match ended.get(&id) {
+                Some(why) => *why,
+                None => match self.store.taken(id, taken) {
+                    Ok(()) => {
+                        out.push(Output::Told(Told::Taken { id, ticket }));
+                        continue;
+                    }
+                    Err(e) => {
+                        out.push(Output::Log(format!("journal: {e}; message refused")));
+                        self.follow_up.push(Event::Withdrawn { id });
+                        Turned::Refused { again_ms: Some(COME_AGAIN_MS) }
+                    }
+                },
+            };
+            // Whatever else the module wants done for it is not done.
+            self.open.remove(id);
+            out.push(Output::Told(Told::Turned { ticket, why }));
+        }
+    }
+
+    fn act<T>(&mut self, now: f64, action: Action, out: &mut Vec<Output<T, R>>) {
+        match action {
+            Action::Send { id, endpoint, timeout_ms } => self.send(now, id, endpoint, timeout_ms, out),
+            Action::Cancel { id, attempt } => {
+                let found =
+                    self.open.get_mut(id).and_then(|o| o.out.iter_mut().find(|x| x.attempt == attempt));
+                if let Some(x) = found {
+                    x.called_off = true;
+                    out.push(Output::CallOff { id, attempt });
+                }
+            }
+            Action::Refuse { id, retry_after_ms } => {
+                self.end(id, Verdict::Deferred { again_ms: retry_after_ms }, out)
+            }
+            Action::Fail { id } => self.end(id, Verdict::Undeliverable, out),
+            Action::Timer { at, token } => self.timers.set(at, token),
+            Action::Probe { endpoint } => out.push(Output::Probe { endpoint }),
+            Action::CloseIdle { endpoint } => out.push(Output::CloseIdle { endpoint }),
+            Action::Log(words) => out.push(Output::Log(words)),
+            // There are no peers yet, and the list comes by itself.
+            Action::Tell { .. } | Action::Watch(_) | Action::Fetch => {}
+        }
+    }
+
+    fn send<T>(
+        &mut self, now: f64, id: u64, endpoint: String, timeout_ms: Option<f64>, out: &mut Vec<Output<T, R>>,
+    ) {
+        let Some(open) = self.open.get_mut(id) else {
+            // Not taken on after all: the module waits for an outcome of its first attempt all the same.
+            let (outcome, report) = (Outcome::NotSent, Vec::new());
+            let (attempt, took_ms, settled, wait_ms) = (0, 0.0, true, 0.0);
+            self.follow_up.push(Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report });
+            return;
+        };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        open.out.push(Out { attempt, begun: false, called_off: false });
+        out.push(Output::Attempt(Attempt {
+            id,
+            attempt,
+            endpoint,
+            destination: open.destination,
+            call_id: open.call_id.clone(),
+            idempotency_key: open.idempotency_key.clone(),
+            body: open.body.clone(),
+            wait_ms: timeout_ms.unwrap_or(f64::MAX).min((open.due - now).max(0.0)),
+        }));
+    }
+
+    /// The module has given a message up: its sender hears at once.
+    fn end<T>(&mut self, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
+        if self.open.get(id).is_none_or(|o| o.over) {
+            return;
+        }
+        if let Err(e) = self.store.verdict(id, verdict) {
+            let words = format!("journal: {e}; a restart would go on with a message that was given up");
+            out.push(Output::Log(words));
+        }
+        self.give_up(id, verdict, out);
+    }
+
+    fn give_up<T>(&mut self, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
+        self.open.over(id);
+        self.open.set_unconfirmed(id, true);
+        let Some(open) = self.open.get_mut(id) else { return };
+        let (may_have_run, last) = (open.may_have_run || open.out.iter().any(|x| x.begun), open.last.take());
+        let answer = match verdict {
+            Verdict::Undeliverable => Final::Failed { may_have_run, last },
+            Verdict::Deferred { again_ms } => Final::Refused { again_ms, may_have_run, last },
+        };
+        out.push(Output::Told(Told::Final { id, call_id: open.call_id.clone(), answer }));
+    }
+
+    fn confirmed<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) {
+        if self.open.get(id).is_some_and(|o| o.unconfirmed) {
+            self.open.set_unconfirmed(id, false);
+            self.close(id, out);
+        }
+    }
+
+    /// The message's end has reached whom it concerns.
+    fn close<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) {
+        if let Err(e) = self.store.ended(id) {
+            out.push(Output::Log(format!("journal: {e}; a restart will end a message once more")));
+        }
+        self.open.remove_if_done(id);
+    }
+}
+
+fn recalled((destination, endpoint, back, before): &KeptOutage) -> Outage {
+    Outage { destination: *destination, endpoint: endpoint.clone(), back: *back, before: *before }
+}
+
+fn kept_outage(o: &Outage) -> KeptOutage {
+    (o.destination, o.endpoint.clone(), o.back, o.before)
+}
--- a/src/bin/mulleinslip/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,13 +1,11 @@
 //! The list of hosts: fetched once, then watched without a gap. On a failure the list held stays in force. The
 //! agent may move: from then on the new one is asked, and first for the whole list.
 
-use crate::config::List;
 use crate::conn::{backoff, bytes, Conn};
-use crate::driver::Happened;
+use crate::list::List;
 use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -26,6 +24,7 @@
 }
 
 impl Discovery {
+    /// An agent that was not asked yet.
     pub fn new(address: SocketAddr) -> Discovery {
         Discovery { address, conn: None }
     }
@@ -55,11 +54,10 @@
         serde_json::from_slice(&body).map_err(|e| format!("a list that can't be read: {e}"))
     }
 
-    /// Tells all news for good. `index` is the version held, if a list was fetched already; `place` is where
-    /// the agent is.
+    /// Tells all news until `news` gives `false`. `index` is the version held, if a list was fetched already;
+    /// `place` is where the agent is.
     pub async fn watch(
-        mut self, mut index: Option<u64>, mut place: watch::Receiver<SocketAddr>,
-        news: UnboundedSender<Happened>,
+        mut self, mut index: Option<u64>, mut place: watch::Receiver<SocketAddr>, news: impl Fn(List) -> bool,
     ) {
         let mut failures = 0u32;
         loop {
@@ -81,7 +79,7 @@
                     }
                     failures = 0;
                     index = Some(list.index);
-                    if news.send(Happened::List(list)).is_err() {
+                    if !news(list) {
                         return;
                     }
                 }
--- a/src/bin/mulleinslip/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,18 +1,18 @@
 //! What clients hand in: reads and checks it, and answers at once. Nothing here trusts what it reads.
 
-use crate::clients::Guest;
-use crate::config::Names;
 use crate::conn::{bytes, collect, Body};
-use crate::driver::Happened;
+use crate::guest::Guest;
+use crate::Handle;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use linenhall::{Class, Effect};
+use mulleinslip_engine::{Message, Names};
+use mulleinslip_runtime::Clock;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 const MOST_BODY: usize = 64 * 1024;
@@ -21,20 +21,6 @@
 /// A body that is late is answered so long before its connection would be closed.
 const BODY_MARGIN: Duration = Duration::from_millis(200);
 
-/// A message as a client hands it in, checked.
-pub struct Handed {
-    pub call_id: String,
-    pub class: usize,
-    pub tenant: usize,
-    pub dest: u64,
-    pub budget_ms: f64,
-    pub order_key: Option<String>,
-    pub idempotency_key: Option<Bytes>,
-    pub body: Bytes,
-    /// When its last byte was read.
-    pub read_at: Instant,
-}
-
 /// What a client is told.
 #[derive(Debug)]
 pub enum Answer {
@@ -47,7 +33,8 @@
 pub struct Intake {
     pub names: Names,
     pub classes: Vec<Class>,
-    pub events: UnboundedSender<Happened>,
+    pub engine: Handle,
+    pub clock: Clock,
     /// After SIGTERM nothing new is taken on, and connections are not kept.
     pub stopping: Cell<bool>,
 }
@@ -69,9 +56,9 @@
             }
         } else {
             match self.read(request, guest).await {
-                Ok(handed) => {
+                Ok(message) => {
                     guest.answering();
-                    self.hand_in(handed).await
+                    self.hand_in(message).await
                 }
                 Err((status, why)) => plain(status, why),
             }
@@ -84,10 +71,10 @@
         Ok(reply)
     }
 
-    async fn hand_in(&self, handed: Handed) -> Reply {
+    async fn hand_in(&self, message: Message) -> Reply {
         let (answer, answered) = oneshot::channel();
-        // If this request's connection ends first, `answered` is dropped, and the driver leaves the message.
-        let _stopped = self.events.send(Happened::Handed(Box::new(handed), answer));
+        // If this request's connection ends first, `answered` is dropped, and the message is left.
+        let _or_stopped = self.engine.hand_in(Box::new(message), answer);
         match answered.await {
             Ok(Answer::Taken) => plain(StatusCode::ACCEPTED, ""),
             Ok(Answer::Failed) => plain(StatusCode::INTERNAL_SERVER_ERROR, "not delivered\n"),
@@ -97,7 +84,7 @@
     }
 
     /// Reads a request whole and checks it.
-    async fn read(&self, request: Request<Incoming>, guest: &Guest) -> Result<Handed, Bad> {
+    async fn read(&self, request: Request<Incoming>, guest: &Guest) -> Result<Message, Bad> {
         const BAD: StatusCode = StatusCode::BAD_REQUEST;
         if guest.ambiguous() {
             return Err((BAD, "the length can be read in two ways\n"));
@@ -122,8 +109,8 @@
         // No message is of use for longer than its class says.
         let budget_ms =
             budget_ms.ok_or((BAD, "X-Budget is missing or can't be read\n"))?.min(kind.deadline_ms);
-        let dest = text(&head.headers, "X-Envelope").and_then(dest);
-        let dest = dest.ok_or((BAD, "X-Envelope is missing or has no dest\n"))?;
+        let destination = text(&head.headers, "X-Envelope").and_then(dest);
+        let destination = destination.ok_or((BAD, "X-Envelope is missing or has no dest\n"))?;
         let key = text(&head.headers, "Idempotency-Key").filter(|key| is_id(key));
         if kind.effect == Effect::Keyed && key.is_none() {
             return Err((BAD, "Idempotency-Key is missing or can't be read\n"));
@@ -143,8 +130,8 @@
             true => (StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"),
             false => (BAD, "the body can't be read\n"),
         })?;
-        let read_at = Instant::now();
-        Ok(Handed { call_id, class, tenant, dest, budget_ms, order_key, idempotency_key, body, read_at })
+        let due = self.clock.at(Instant::now()) + budget_ms;
+        Ok(Message { call_id, class, tenant, destination, due, order_key, idempotency_key, body })
     }
 }
 
--- a/src/bin/mulleinslip/notices.rs
+++ b/crates/http/src/notices.rs
@@ -2,13 +2,12 @@
 //! again until it is answered 204, to where the platform is now; one for a message that is over does no harm.
 
 use crate::conn::{backoff, bytes, Conn, SMALL};
-use crate::driver::Happened;
-use crate::journal::Verdict;
+use crate::Handle;
 use hyper::{Request, StatusCode};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -17,20 +16,22 @@
 /// Lines in one request.
 const MOST: usize = 200;
 
+/// How a message ended that was taken on and not delivered.
 pub struct Notice {
+    /// The engine's number for it.
     pub id: u64,
+    /// The client's id for it.
     pub call_id: String,
-    pub verdict: Verdict,
+    /// Whether it is deferred, and then when to come again if that is told; else it is undeliverable.
+    pub deferred: Option<Option<f64>>,
 }
 
 impl Notice {
     fn line(&self) -> String {
-        let line = match self.verdict {
-            Verdict::Undeliverable => json!({"id": self.call_id, "status": "undeliverable"}),
-            Verdict::Deferred { again_ms: None } => json!({"id": self.call_id, "status": "deferred"}),
-            Verdict::Deferred { again_ms: Some(ms) } => {
-                json!({"id": self.call_id, "status": "deferred", "again_ms": ms.ceil() as u64})
-            }
+        let line = match self.deferred {
+            None => json!({"id": self.call_id, "status": "undeliverable"}),
+            Some(None) => json!({"id": self.call_id, "status": "deferred"}),
+            Some(Some(ms)) => json!({"id": self.call_id, "status": "deferred", "again_ms": ms.ceil() as u64}),
         };
         format!("{line}\n")
     }
@@ -51,8 +52,7 @@
 
 /// Sends what comes in, for good.
 pub async fn run(
-    mut place: watch::Receiver<SocketAddr>, mut inbox: UnboundedReceiver<Notice>,
-    done: UnboundedSender<Happened>,
+    mut place: watch::Receiver<SocketAddr>, mut inbox: UnboundedReceiver<Notice>, engine: Handle,
 ) {
     let mut to = *place.borrow_and_update();
     let mut conn = None;
@@ -89,7 +89,7 @@
                     eprintln!("mulleinslip: a notice can't be read there: {}", waiting[0].line().trim_end());
                 }
                 let over = waiting.drain(..count).map(|n| n.id).collect();
-                if done.send(Happened::Noticed(over)).is_err() {
+                if !engine.confirm(over) {
                     return;
                 }
                 (most, failures) = (if waiting.is_empty() { MOST } else { most }, 0);
--- a/src/bin/mulleinslip/journal.rs
+++ b/crates/journal/src/lib.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::PathBuf;
 
@@ -73,8 +73,11 @@
     pub verdict: Option<Verdict>,
 }
 
+/// The folder's journal, open.
 pub struct Journal {
     path: PathBuf,
+    /// Holds the folder's lock.
+    _lock: File,
     file: File,
     size: u64,
     /// The frames of every message that is not over: what a new file would hold.
@@ -137,8 +140,20 @@
 
 impl Journal {
     /// Opens the folder's journal and tells what is still owed. `most` bounds the folder, in bytes.
+    ///
+    /// # Errors
+    /// What reading and writing give; `WouldBlock` if another process has the folder open, before anything in it is
+    /// touched.
     pub fn open(folder: PathBuf, most: u64) -> io::Result<(Journal, Left)> {
         let path = folder.join("journal");
+        // The folder itself is locked, as its files are replaced. The lock goes with the process.
+        let lock = File::open(&folder)?;
+        lock.try_lock().map_err(|e| match e {
+            TryLockError::WouldBlock => {
+                io::Error::new(io::ErrorKind::WouldBlock, "in use by another process")
+            }
+            TryLockError::Error(e) => e,
+        })?;
         // What is left of a compaction that was cut off: the file that it would have replaced is whole.
         match fs::remove_file(folder.join("journal.new")) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -155,7 +170,8 @@
         let most = most.saturating_sub(2 * 512);
         let reserve = (most / 8).min(128 * 1024);
         let size = bytes.len() as u64;
-        let mut journal = Journal { path, file, size, live: BTreeMap::new(), live_bytes: 0, most, reserve };
+        let mut journal =
+            Journal { path, _lock: lock, file, size, live: BTreeMap::new(), live_bytes: 0, most, reserve };
         journal.replay(records, &mut left)?;
         // A new file leaves damage and a torn tail behind, so that what is appended can be read.
         if journal.live_bytes != journal.size {
--- /dev/null
+++ b/crates/linenhall/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of an outbound gateway: which message goes to which partner endpoint, when, and what is retried. It
+//! does no I/O; the time and the seed of its random numbers are arguments. [`Relay::handle`] takes events in and
+//! gives actions.
+#![warn(missing_docs)]
+
+mod fleet;
+mod index;
+pub mod interface;
+mod keys;
+pub mod logic;
+mod state;
+
+pub use index::steps;
+pub use interface::*;
+pub use logic::Relay;
--- /dev/null
+++ b/crates/runtime/src/serve.rs
@@ -0,0 +1,259 @@
+//! The loop: what happens goes in by one queue, and what the engine wants done goes out to the seams.
+
+use crate::clock::Clock;
+use crate::seams::{CallOff, Carrier, Front, Gate};
+use linenhall::Outcome;
+use mulleinslip_engine::journal::Left;
+use mulleinslip_engine::{Attempt, Ended, Engine, Held, Input, Message, Output, Store};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::time::sleep_until;
+
+/// Inputs in one round of the engine at most, so that a flood can't keep the timers waiting.
+const ROUND: usize = 256;
+/// How often time alone is looked at while stopping.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+enum Happened<T, C: Carrier> {
+    Input(Input<T, C::Response>),
+    List(C::List),
+    Stop(StopTimes),
+}
+
+/// Where what happens goes in, from any thread. What waits in it is bounded by whoever hands in: each sender has
+/// a bounded number of messages without an answer.
+pub struct Handle<T, C: Carrier>(UnboundedSender<Happened<T, C>>);
+
+impl<T, C: Carrier> Clone for Handle<T, C> {
+    fn clone(&self) -> Self {
+        Handle(self.0.clone())
+    }
+}
+
+impl<T, C: Carrier> Handle<T, C> {
+    /// Hands a message in. `false` if the engine is gone, and the ticket with it.
+    pub fn hand_in(&self, message: Box<Message>, ticket: T) -> bool {
+        self.put(Happened::Input(Input::Handed(message, ticket)))
+    }
+
+    /// Nobody waits for this message any more.
+    pub fn withdraw(&self, id: u64) -> bool {
+        self.put(Happened::Input(Input::Withdrawn { id }))
+    }
+
+    /// These final answers have reached whom they concern.
+    pub fn confirm(&self, ids: Vec<u64>) -> bool {
+        self.put(Happened::Input(Input::Confirmed(ids)))
+    }
+
+    /// News of the list.
+    pub fn list(&self, list: C::List) -> bool {
+        self.put(Happened::List(list))
+    }
+
+    /// Takes on nothing more and ends, see [`StopTimes`].
+    pub fn stop(&self, times: StopTimes) -> bool {
+        self.put(Happened::Stop(times))
+    }
+
+    fn put(&self, happened: Happened<T, C>) -> bool {
+        self.0.send(happened).is_ok()
+    }
+}
+
+/// The other end of [`Handle`].
+pub struct Queue<T, C: Carrier>(UnboundedReceiver<Happened<T, C>>);
+
+/// The course of a stop, in milliseconds from its beginning.
+#[derive(Clone, Copy, Debug)]
+pub struct StopTimes {
+    /// No attempt is begun that may be out at this time.
+    pub calls_end_ms: f64,
+    /// It lasts so long even if nothing is owed, as whoever hands in may not know of it yet.
+    pub linger_ms: f64,
+    /// It lasts no longer.
+    pub exit_ms: f64,
+}
+
+/// An engine, its seams and its clock.
+pub struct Runtime<S, T, C: Carrier, F> {
+    engine: Rc<RefCell<Engine<S, C::Response>>>,
+    carrier: Rc<C>,
+    front: F,
+    clock: Clock,
+    handle: Handle<T, C>,
+    queue: Queue<T, C>,
+    /// What calls attempts off that are out.
+    out: HashMap<(u64, u32), oneshot::Sender<()>>,
+    /// Since when, and how long it may last.
+    stopping: Option<(f64, StopTimes)>,
+    log: fn(&str),
+}
+
+impl<S: Store + 'static, T: 'static, C: Carrier, F: Front<T, C::Response>> Runtime<S, T, C, F> {
+    /// A queue of what happens. Made first, as fronts are built around its handle.
+    pub fn queue() -> (Handle<T, C>, Queue<T, C>) {
+        let (send, receive) = unbounded_channel();
+        (Handle(send), Queue(receive))
+    }
+
+    /// Puts the parts together. `log` takes lines.
+    pub fn new(
+        engine: Engine<S, C::Response>, carrier: Rc<C>, front: F, clock: Clock,
+        (handle, queue): (Handle<T, C>, Queue<T, C>), log: fn(&str),
+    ) -> Self {
+        let engine = Rc::new(RefCell::new(engine));
+        let (out, stopping) = (HashMap::new(), None);
+        Runtime { engine, carrier, front, clock, handle, queue, out, stopping, log }
+    }
+
+    /// Goes on with what an earlier process left. Before [`Runtime::run`].
+    pub fn restore(&mut self, lists: Vec<C::List>, left: Left) {
+        let lists = lists.into_iter().map(|l| self.carrier.learn(l)).collect();
+        let mut wanted = Vec::new();
+        self.engine.borrow_mut().restore(self.clock.now(), lists, left, &mut wanted);
+        self.act(wanted);
+    }
+
+    /// Serves until a stop has been carried out.
+    pub async fn run(mut self) {
+        loop {
+            if self.finished() {
+                return;
+            }
+            let mut batch = Vec::new();
+            let due = self.engine.borrow().next_timer().map(|at| self.clock.instant(at));
+            let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(1));
+            let due = match self.stopping {
+                Some(_) => due.min(Instant::now() + STOP_LOOK),
+                None => due,
+            };
+            tokio::select! {
+                biased;
+                count = self.queue.0.recv_many(&mut batch, ROUND) => if count == 0 { return },
+                () = sleep_until(due.into()) => {}
+            }
+            self.take(batch);
+        }
+    }
+
+    fn finished(&self) -> bool {
+        let Some((since, times)) = self.stopping else { return false };
+        let spent = self.clock.now() - since;
+        (self.engine.borrow().is_idle() && spent >= times.linger_ms) || spent >= times.exit_ms
+    }
+
+    fn take(&mut self, batch: Vec<Happened<T, C>>) {
+        let mut inputs = Vec::with_capacity(batch.len());
+        for happened in batch {
+            inputs.push(match happened {
+                Happened::Input(Input::Handed(_, ticket)) if !self.front.waits(&ticket) => continue,
+                Happened::Input(input) => {
+                    match &input {
+                        Input::Ended { id, attempt, .. } => drop(self.out.remove(&(*id, *attempt))),
+                        Input::Withdrawn { id } => self.front.withdrawn(*id),
+                        _ => {}
+                    }
+                    input
+                }
+                Happened::List(list) => Input::Listed(self.carrier.learn(list)),
+                Happened::Stop(times) => {
+                    let now = self.clock.now();
+                    self.stopping = Some((now, times));
+                    Input::Stop { calls_end_at: now + times.calls_end_ms }
+                }
+            });
+        }
+        let mut wanted = Vec::new();
+        self.engine.borrow_mut().handle(self.clock.now(), inputs, &mut wanted);
+        self.act(wanted);
+    }
+
+    fn act(&mut self, wanted: Vec<Output<T, C::Response>>) {
+        for output in wanted {
+            match output {
+                Output::Told(told) => self.front.told(told),
+                Output::Attempt(attempt) => self.attempt(attempt),
+                Output::CallOff { id, attempt } => {
+                    let _ended_already = self.out.remove(&(id, attempt)).map(|off| off.send(()));
+                }
+                Output::Probe { endpoint } => self.probe(endpoint),
+                Output::CloseIdle { endpoint } => self.carrier.close_idle(&endpoint),
+                Output::Log(words) => (self.log)(&words),
+            }
+        }
+    }
+
+    fn attempt(&mut self, attempt: Attempt) {
+        let (off, wanted) = oneshot::channel();
+        self.out.insert((attempt.id, attempt.attempt), off);
+        let (carrier, engine) = (self.carrier.clone(), self.engine.clone());
+        let (clock, log) = (self.clock, self.log);
+        let ending = Ending {
+            handle: self.handle.clone(),
+            of: (attempt.id, attempt.attempt),
+            began: Instant::now(),
+            end: None,
+        };
+        tokio::task::spawn_local(async move {
+            let gate = At { engine, clock, log, attempt: &attempt };
+            ending.with(carrier.attempt(&attempt, &gate, CallOff(wanted)).await);
+        });
+    }
+
+    fn probe(&self, endpoint: String) {
+        let (carrier, handle) = (self.carrier.clone(), self.handle.clone());
+        tokio::task::spawn_local(async move {
+            let began = Instant::now();
+            let (outcome, report) = carrier.probe(&endpoint).await;
+            let took_ms = began.elapsed().as_secs_f64() * 1000.0;
+            handle.put(Happened::Input(Input::Probed { endpoint, outcome, took_ms, report }));
+        });
+    }
+}
+
+/// Tells how an attempt ended, whatever happens to its task: one that panics may have run.
+struct Ending<T, C: Carrier> {
+    handle: Handle<T, C>,
+    of: (u64, u32),
+    began: Instant,
+    end: Option<Ended<C::Response>>,
+}
+
+impl<T, C: Carrier> Ending<T, C> {
+    fn with(mut self, end: Ended<C::Response>) {
+        self.end = Some(end);
+    }
+}
+
+impl<T, C: Carrier> Drop for Ending<T, C> {
+    fn drop(&mut self) {
+        let (id, attempt) = self.of;
+        let took_ms = self.began.elapsed().as_secs_f64() * 1000.0;
+        let end = self.end.take().unwrap_or_else(|| Ended::bare(Outcome::Broken));
+        self.handle.put(Happened::Input(Input::Ended { id, attempt, took_ms, end }));
+    }
+}
+
+/// The gate of one attempt.
+struct At<'a, S, R> {
+    engine: Rc<RefCell<Engine<S, R>>>,
+    clock: Clock,
+    log: fn(&str),
+    attempt: &'a Attempt,
+}
+
+impl<S: Store, R> Gate for At<'_, S, R> {
+    fn begin(&self) -> bool {
+        let Attempt { id, attempt, endpoint, .. } = self.attempt;
+        let begun = self.engine.borrow_mut().begin(self.clock.now(), *id, *attempt, endpoint);
+        if let Err(why @ Held::NotKept(_)) = &begun {
+            (self.log)(&why.to_string());
+        }
+        begun.is_ok()
+    }
+}
--- a/src/bin/mulleinslip/config.rs
+++ b/crates/settings/src/lib.rs
@@ -1,119 +1,33 @@
-//! What the relay is told at its start: the environment and config.json, as typed values.
+//! The platform's settings, as JSON stands in a relay's configuration, read into the module's own. Units are
+//! those of the platform: spans in milliseconds, rates in calls a second.
+#![warn(missing_docs)]
 
-use linenhall::{Class, Effect, Endpoint, Fade, Group, Listed, Settings, WeightMeaning};
+use linenhall::{Class, Effect, Fade, Group, Settings, WeightMeaning};
 use serde::Deserialize;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::time::Duration;
 
-/// All that the relay is told, checked.
-pub struct Config {
-    /// The configuration's file, to be read again at SIGHUP.
-    pub file: PathBuf,
-    pub name: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub state: PathBuf,
-    pub seed: u64,
-    pub sockets: usize,
-    pub disk_bytes: u64,
-    pub known: List,
+/// What the settings say, checked.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// For the module.
     pub settings: Settings,
-    pub names: Names,
-    pub connect_timeout: Duration,
-    /// Columns of a load report, in the order in which the module reads them.
-    pub report_columns: Vec<String>,
-}
-
-/// The names that stand on the sockets for the module's numbers.
-#[derive(Clone, Default)]
-pub struct Names {
+    /// Names of the classes, by index.
     pub classes: Vec<String>,
+    /// Names of the tenants, by index.
     pub tenants: Vec<String>,
+    /// Names of the zones, by index.
     pub zones: Vec<String>,
+    /// Names of the kinds of destinations, by index.
     pub kinds: Vec<String>,
+    /// A connection that is not up by then counts as refused. Over 0 and under 1e9.
+    pub connect_timeout_ms: f64,
+    /// Columns of a load report, in the order in which the module reads them.
+    pub report_columns: Vec<String>,
 }
 
-/// Discovery's list, as it stands on the socket and in the configuration.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct List {
-    #[serde(default)]
-    pub index: u64,
-    #[serde(default)]
-    pub snapshot: bool,
-    #[serde(default)]
-    pub endpoints: Vec<Entry>,
-}
-
-/// One host of the list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Entry {
-    pub name: String,
-    pub address: SocketAddr,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    pub group: u64,
-    pub status: Status,
-    #[serde(default = "one")]
-    pub weight: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Status {
-    Active,
-    Leaving,
-    Left,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-impl Names {
-    /// An entry as the module knows it. An unknown zone or kind counts as the first.
-    pub fn endpoint(&self, e: &Entry) -> Endpoint {
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0);
-        Endpoint {
-            name: e.name.clone(),
-            destination: e.group,
-            zone: place(&self.zones, &e.zone) as u32,
-            kind: place(&self.kinds, &e.kind),
-            weight: e.weight,
-            listed: match e.status {
-                Status::Active => Listed::Active,
-                Status::Leaving => Listed::Leaving,
-                Status::Left => Listed::Gone,
-            },
-        }
-    }
-}
-
-#[derive(Deserialize)]
-struct File {
-    #[serde(default)]
-    name: String,
-    listen: Option<String>,
-    discovery: Option<String>,
-    #[serde(default)]
-    seed: String,
-    limits: FileLimits,
-    #[serde(default)]
-    known: List,
-    settings: FileSettings,
-}
-
-#[derive(Deserialize)]
-struct FileLimits {
-    sockets: usize,
-    disk_mb: f64,
-}
-
+/// The settings as they stand in the file. [`FileSettings::read`] checks them.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct FileSettings {
+pub struct FileSettings {
     balancers: usize,
     #[serde(default)]
     costs: FileCosts,
@@ -240,6 +154,25 @@
     })
 }
 
+impl FileSettings {
+    /// Checks them. The error is one line that names the setting.
+    pub fn read(&self) -> Result<Read, String> {
+        let millis = self.limits.connect_timeout_ms;
+        if !(millis > 0.0 && millis < 1e9) {
+            return Err(format!("setting Limits.ConnectTimeoutMs cannot be read: {millis}"));
+        }
+        Ok(Read {
+            settings: settings(self)?,
+            classes: self.profiles.iter().map(|p| p.name.clone()).collect(),
+            tenants: self.orgs.iter().map(|o| o.name.clone()).collect(),
+            zones: self.zones.clone(),
+            kinds: self.machine_types.clone(),
+            connect_timeout_ms: millis,
+            report_columns: self.load_report.columns.clone(),
+        })
+    }
+}
+
 fn settings(s: &FileSettings) -> Result<Settings, String> {
     if s.profiles.is_empty() {
         return Err("setting Profiles is empty".into());
@@ -291,67 +224,3 @@
         tick_ms: s.tick_ms,
     })
 }
-
-fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{what} cannot be read: {text}"))
-}
-
-/// An address from the environment, or else from the configuration.
-fn told(what: &str, env: &str, file: Option<&String>) -> Result<SocketAddr, String> {
-    let text = std::env::var(env).ok().or_else(|| file.cloned());
-    let text =
-        text.ok_or_else(|| format!("{what} is missing: neither {env} nor the configuration has it"))?;
-    address(what, &text)
-}
-
-/// Reads and checks the file.
-fn load(path: &Path) -> Result<(File, Settings), String> {
-    let named = |e: &dyn std::fmt::Display| format!("configuration {}: {e}", path.display());
-    let text = std::fs::read_to_string(path).map_err(|e| named(&e))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| named(&e))?;
-    let millis = file.settings.limits.connect_timeout_ms;
-    if !(millis > 0.0 && millis < 1e9) {
-        return Err(format!("setting Limits.ConnectTimeoutMs cannot be read: {millis}"));
-    }
-    if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e6) {
-        return Err(format!("limits.disk_mb cannot be read: {}", file.limits.disk_mb));
-    }
-    let settings = settings(&file.settings)?;
-    Ok((file, settings))
-}
-
-/// The address of discovery in the file as it stands now. The environment does not count: it is as old as the
-/// process. Nothing of a file that can't be read whole is taken over.
-pub fn discovery_now(path: &Path) -> Result<SocketAddr, String> {
-    let (file, _) = load(path)?;
-    address("discovery", &file.discovery.ok_or("discovery is missing in the configuration")?)
-}
-
-/// Reads the environment and the configuration that it names. The error is one line for the log.
-pub fn read() -> Result<Config, String> {
-    let path: PathBuf = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into();
-    let (file, settings) = load(&path)?;
-    let s = &file.settings;
-    let millis = s.limits.connect_timeout_ms;
-    let state = std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?;
-    Ok(Config {
-        file: path,
-        name: std::env::var("ROUTER_NAME").unwrap_or(file.name),
-        listen: told("listen", "ROUTER_LISTEN", file.listen.as_ref())?,
-        discovery: told("discovery", "ROUTER_DISCOVERY", file.discovery.as_ref())?,
-        state: state.into(),
-        seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
-        sockets: file.limits.sockets,
-        disk_bytes: (file.limits.disk_mb * 1e6) as u64,
-        settings,
-        names: Names {
-            classes: s.profiles.iter().map(|p| p.name.clone()).collect(),
-            tenants: s.orgs.iter().map(|o| o.name.clone()).collect(),
-            zones: s.zones.clone(),
-            kinds: s.machine_types.clone(),
-        },
-        connect_timeout: Duration::from_secs_f64(millis / 1000.0),
-        report_columns: s.load_report.columns.clone(),
-        known: file.known,
-    })
-}
--- a/tests/sockets/mod.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,10 +1,13 @@
 //! The relay as a process on loopback, and around it hosts, discovery and clients that give fixed replies.
-#![allow(dead_code)]
+#[cfg(feature = "grpc")]
+pub mod grpc;
+
 use serde_json::{json, Value};
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -48,7 +51,8 @@
     }
 }
 
-fn hear(stream: &mut BufReader<TcpStream>, conn: usize) -> Option<Heard> {
+/// Reads one message off a stream. `None` once it has ended.
+pub fn hear(stream: &mut BufReader<TcpStream>, conn: usize) -> Option<Heard> {
     let mut line = String::new();
     stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
     let mut headers = HashMap::new();
@@ -93,8 +97,8 @@
     pub conns: Arc<AtomicUsize>,
     /// Connections that it closed by itself.
     pub closed: Arc<AtomicUsize>,
-    /// Ids of the calls that it answered.
-    answers: Arc<Mutex<Vec<String>>>,
+    /// Ids of the calls that it answered, and the statuses.
+    answers: Arc<Mutex<Vec<(String, u16)>>>,
 }
 
 impl Host {
@@ -156,7 +160,8 @@
             if reader.get_mut().write_all(text.as_bytes()).is_err() {
                 return;
             }
-            self.answers.lock().unwrap().push(heard.id().to_string());
+            let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+            self.answers.lock().unwrap().push((heard.id().to_string(), status));
             if matches!(reply, Reply::AndClose) {
                 std::thread::sleep(Duration::from_millis(150));
                 drop(reader);
@@ -175,7 +180,17 @@
     }
 
     pub fn answered(&self, id: &str) -> bool {
-        self.answers.lock().unwrap().iter().any(|a| a == id)
+        self.answers.lock().unwrap().iter().any(|a| a.0 == id)
+    }
+
+    /// Whether it has answered a call of this message with 200.
+    pub fn delivered(&self, id: &str) -> bool {
+        self.answers.lock().unwrap().iter().any(|a| a.0 == id && a.1 == 200)
+    }
+
+    /// Ids of all calls that it answered, and the statuses.
+    pub fn all_answered(&self) -> Vec<(String, u16)> {
+        self.answers.lock().unwrap().clone()
     }
 
     pub fn calls_of(&self, id: &str) -> usize {
@@ -262,6 +277,10 @@
         self.told.lock().unwrap().notices.iter().filter(|n| n["id"] == id).cloned().collect()
     }
 
+    pub fn all_notices(&self) -> Vec<Value> {
+        self.told.lock().unwrap().notices.clone()
+    }
+
     pub fn wait_notice(&self, id: &str) -> Value {
         until(&format!("a notice of {id}"), || self.notices_of(id).into_iter().next())
     }
@@ -305,10 +324,50 @@
     }
 }
 
+/// The relay's program, and where its folders go. See [`program!`].
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The program's file.
+    pub path: Cow<'static, str>,
+    /// A folder for what is of no use after the test.
+    pub tmp: Cow<'static, str>,
+}
+
+impl Program {
+    /// A program that was built before.
+    pub fn at(path: &str, tmp: &str) -> Program {
+        Program { path: Cow::Owned(path.into()), tmp: Cow::Owned(tmp.into()) }
+    }
+
+    /// See [`program!`].
+    pub const fn built(path: &'static str, tmp: &'static str) -> Program {
+        Program { path: Cow::Borrowed(path), tmp: Cow::Borrowed(tmp) }
+    }
+
+    fn command(&self, folder: &Path) -> Command {
+        let mut command = Command::new(&*self.path);
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command.env("ROUTER_CONFIG", folder.join("config.json")).env("ROUTER_STATE", folder.join("state"));
+        command.stderr(Stdio::piped()).stdin(Stdio::null());
+        command
+    }
+}
+
+/// The program as built along with a test or benchmark of its package.
+#[macro_export]
+macro_rules! program {
+    () => {
+        $crate::Program::built(env!("CARGO_BIN_EXE_mulleinslip"), env!("CARGO_TARGET_TMPDIR"))
+    };
+}
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// The program itself.
 pub struct Relay {
+    program: Program,
     pub child: Child,
     pub address: SocketAddr,
     pub folder: PathBuf,
@@ -338,36 +397,26 @@
 }
 
 /// A command with the environment of a relay, its configuration and its folder.
-pub fn command(config: &Value) -> (Command, PathBuf) {
+pub fn command(program: &Program, config: &Value) -> (Command, PathBuf) {
     let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+    let folder = PathBuf::from(&*program.tmp).join(format!("{}-{number}", std::process::id()));
     let _not_there = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(folder.join("state")).unwrap();
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-    (command_in(&folder), folder)
-}
-
-fn command_in(folder: &std::path::Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_mulleinslip"));
-    for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
-        command.env_remove(name);
-    }
-    command.env("ROUTER_CONFIG", folder.join("config.json")).env("ROUTER_STATE", folder.join("state"));
-    command.stderr(Stdio::piped()).stdin(Stdio::null());
-    command
+    (program.command(&folder), folder)
 }
 
 impl Relay {
-    pub fn start(agent: &Agent) -> Relay {
-        Relay::with(config(agent.address), agent)
+    pub fn start(program: Program, agent: &Agent) -> Relay {
+        Relay::with(program, config(agent.address), agent)
     }
 
-    pub fn with(config: Value, agent: &Agent) -> Relay {
-        let (command, folder) = command(&config);
-        Relay::run(command, folder, agent.address)
+    pub fn with(program: Program, config: Value, agent: &Agent) -> Relay {
+        let (command, folder) = command(&program, &config);
+        Relay::run(program, command, folder, agent.address)
     }
 
-    fn run(mut command: Command, folder: PathBuf, agent: SocketAddr) -> Relay {
+    fn run(program: Program, mut command: Command, folder: PathBuf, agent: SocketAddr) -> Relay {
         let mut child = command.spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -381,7 +430,7 @@
             let lines = log.lock().unwrap();
             lines.iter().find_map(|l| l.split(" serves on ").nth(1)?.parse().ok())
         });
-        Relay { child, address, folder, log, agent }
+        Relay { program, child, address, folder, log, agent }
     }
 
     pub fn logged(&self, words: &str) -> bool {
@@ -397,7 +446,8 @@
         self.child.kill().unwrap();
         self.child.wait().unwrap();
         meanwhile(&self.journal());
-        Relay::run(command_in(&self.folder), std::mem::take(&mut self.folder), self.agent)
+        let command = self.program.command(&self.folder);
+        Relay::run(self.program.clone(), command, std::mem::take(&mut self.folder), self.agent)
     }
 
     pub fn log_lines(&self, words: &str) -> usize {
--- /dev/null
+++ b/crates/tower/src/front.rs
@@ -0,0 +1,167 @@
+//! Callers that wait, on the engine's side.
+
+use crate::body::Collected;
+use crate::error::Error;
+use http::Response;
+use mulleinslip_engine::{Final, Told, Turned};
+use mulleinslip_runtime::Front;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+pub type Answer = Response<Collected>;
+pub type End = Result<Answer, Error>;
+
+/// What is known of a call's message on both sides: the engine's number for it, or one of these.
+const NOT_TAKEN: u64 = 0;
+/// The caller has gone.
+const GONE: u64 = u64::MAX;
+/// Others wait for it too, so its caller's going away ends nothing.
+const SHARED: u64 = u64::MAX - 1;
+
+/// Where a call is between its caller and the engine.
+#[derive(Clone, Default)]
+pub struct Place(Arc<AtomicU64>);
+
+impl Place {
+    /// The caller goes away. Gives the message to be withdrawn, if there is one.
+    pub fn leave(&self) -> Option<u64> {
+        match self.0.swap(GONE, Ordering::AcqRel) {
+            NOT_TAKEN | GONE | SHARED => None,
+            id => Some(id),
+        }
+    }
+
+    /// Whether it was taken on.
+    pub fn taken(&self) -> bool {
+        !matches!(self.0.load(Ordering::Acquire), NOT_TAKEN | GONE)
+    }
+
+    /// It is taken on. `false` if the caller has gone before.
+    fn take(&self, id: u64) -> bool {
+        self.0.compare_exchange(NOT_TAKEN, id, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    fn share(&self, id: u64) {
+        let _gone = self.0.compare_exchange(id, SHARED, Ordering::AcqRel, Ordering::Acquire);
+    }
+}
+
+/// What a caller hands in along with its message.
+pub struct Ticket {
+    pub place: Place,
+    pub end: oneshot::Sender<End>,
+}
+
+/// Told of the end of a call that an earlier process had taken on: the caller's id for it, and the end.
+pub type OnCarried = Box<dyn FnMut(&str, Result<&Answer, &Error>) + Send>;
+
+pub struct TowerFront {
+    waiting: HashMap<u64, Ticket>,
+    /// Those that handed in the same call once more.
+    also: HashMap<u64, Vec<Ticket>>,
+    on_carried: OnCarried,
+    /// Puts what these need back into the engine's queue.
+    confirm: Box<dyn Fn(u64) + Send>,
+    withdraw: Box<dyn Fn(u64) + Send>,
+}
+
+impl TowerFront {
+    pub fn new(
+        on_carried: OnCarried, confirm: Box<dyn Fn(u64) + Send>, withdraw: Box<dyn Fn(u64) + Send>,
+    ) -> TowerFront {
+        TowerFront { waiting: HashMap::new(), also: HashMap::new(), on_carried, confirm, withdraw }
+    }
+
+    fn end(&mut self, id: u64, call_id: &str, end: End) {
+        let also = self.also.remove(&id).unwrap_or_default();
+        let Some(ticket) = self.waiting.remove(&id) else {
+            // Taken on by an earlier process; whoever has handed it in again hears as well.
+            (self.on_carried)(call_id, end.as_ref());
+            return also.into_iter().for_each(|t| drop(t.end.send(again(&end))));
+        };
+        also.into_iter().for_each(|t| drop(t.end.send(again(&end))));
+        let _gone = ticket.end.send(end);
+    }
+}
+
+/// The same end for another that waits for it.
+fn again(end: &End) -> End {
+    match end {
+        Ok(answer) => Ok(answer.clone()),
+        Err(Error::Refused { retry_after, may_have_run, last }) => {
+            Err(Error::Refused { retry_after: *retry_after, may_have_run: *may_have_run, last: last.clone() })
+        }
+        Err(Error::Failed { may_have_run, last }) => {
+            Err(Error::Failed { may_have_run: *may_have_run, last: last.clone() })
+        }
+        Err(Error::BadCall(why)) => Err(Error::BadCall(why)),
+        Err(Error::Stopped { taken }) => Err(Error::Stopped { taken: *taken }),
+    }
+}
+
+fn span(ms: Option<f64>) -> Option<Duration> {
+    ms.map(|ms| Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1000.0))
+}
+
+impl Front<Ticket, Answer> for TowerFront {
+    fn told(&mut self, told: Told<Ticket, Answer>) {
+        match told {
+            Told::Taken { id, ticket } => {
+                let here = ticket.place.take(id);
+                self.waiting.insert(id, ticket);
+                if !here {
+                    (self.withdraw)(id);
+                }
+            }
+            Told::Known { id, ticket } => {
+                if let Some(first) = self.waiting.get(&id) {
+                    first.place.share(id);
+                }
+                self.also.entry(id).or_default().push(ticket);
+            }
+            Told::Turned { ticket, why } => {
+                let (may_have_run, last) = (false, None);
+                let _gone = ticket.end.send(Err(match why {
+                    Turned::Refused { again_ms } => {
+                        Error::Refused { retry_after: span(again_ms), may_have_run, last }
+                    }
+                    Turned::Failed => Error::Failed { may_have_run, last },
+                }));
+            }
+            Told::Final { id, call_id, answer } => {
+                let (end, owed) = match answer {
+                    Final::Delivered(answer) | Final::Over(Some(answer)) => (Ok(answer), false),
+                    Final::Over(None) => (Err(Error::Failed { may_have_run: false, last: None }), false),
+                    Final::Refused { again_ms, may_have_run, last } => (
+                        Err(Error::Refused {
+                            retry_after: span(again_ms),
+                            may_have_run,
+                            last: last.map(Box::new),
+                        }),
+                        true,
+                    ),
+                    Final::Failed { may_have_run, last } => {
+                        (Err(Error::Failed { may_have_run, last: last.map(Box::new) }), true)
+                    }
+                };
+                self.end(id, &call_id, end);
+                // It has reached its caller, or there is none in this process any more.
+                if owed {
+                    (self.confirm)(id);
+                }
+            }
+        }
+    }
+
+    fn waits(&self, ticket: &Ticket) -> bool {
+        !ticket.end.is_closed()
+    }
+
+    fn withdrawn(&mut self, id: u64) {
+        self.waiting.remove(&id);
+        self.also.remove(&id);
+    }
+}
