--- a/crates/tower/src/builder.rs
+++ b/crates/tower/src/builder.rs
@@ -5,20 +5,24 @@
 use crate::client::{Client, Queue, Shared};
 use crate::error::Error;
 use crate::front::{OnCarried, Ticket, TowerFront};
+use crate::host::Host;
 use crate::options::Methods;
 use crate::protocol::Protocol;
 use http::Response;
-use linenhall::{Endpoint, Listed, Settings};
+use linenhall::Settings;
 use mulleinslip_engine::journal::{Journal, Left};
 use mulleinslip_engine::{Engine, Forgetful, Message, Names, Store};
+use mulleinslip_http::{Discovery, List, ListNames};
 use mulleinslip_runtime::{Clock, Handle, Runtime, StopTimes};
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{mpsc, Arc};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// The longest request body, in bytes.
 const MOST_REQUEST: usize = 1 << 20;
@@ -29,60 +33,6 @@
 /// The folder's limit, in bytes.
 const MOST_DISK: u64 = 64_000_000;
 
-/// A host of a destination.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Host {
-    /// Its name, the same wherever it listens.
-    pub name: String,
-    /// `http` or `https`.
-    pub scheme: String,
-    /// Host and port.
-    pub authority: String,
-    /// Its destination.
-    pub destination: u64,
-    /// Index of its zone.
-    pub zone: u32,
-    /// Index of the kind of its destination.
-    pub kind: usize,
-    /// See [`linenhall::WeightMeaning`].
-    pub weight: f64,
-    /// Whether it takes calls, drains or is gone.
-    pub state: Listed,
-}
-
-impl Host {
-    /// A host over plain HTTP, in the first zone, of the first kind.
-    pub fn new(name: impl Into<String>, destination: u64, authority: impl Into<String>) -> Host {
-        Host {
-            name: name.into(),
-            scheme: "http".into(),
-            authority: authority.into(),
-            destination,
-            zone: 0,
-            kind: 0,
-            weight: 1.0,
-            state: Listed::Active,
-        }
-    }
-
-    /// In another state.
-    pub fn state(mut self, state: Listed) -> Host {
-        self.state = state;
-        self
-    }
-
-    pub(crate) fn endpoint(&self) -> Endpoint {
-        Endpoint {
-            name: self.name.clone(),
-            destination: self.destination,
-            zone: self.zone,
-            kind: self.kind,
-            weight: self.weight,
-            listed: self.state,
-        }
-    }
-}
-
 /// Where the relay hears of hosts. A clone speaks to the same relay.
 #[derive(Clone)]
 pub struct Endpoints(Arc<dyn Fn(News) -> bool + Send + Sync>);
@@ -127,6 +77,7 @@
     methods: Methods,
     protocol: Protocol,
     folder: Option<(PathBuf, u64)>,
+    discovery: Option<(SocketAddr, ListNames)>,
     seed: u64,
     most_request: usize,
     most_answer: usize,
@@ -145,6 +96,7 @@
             methods: Methods::default(),
             protocol: Protocol::Grpc,
             folder: None,
+            discovery: None,
             seed: fastrand::u64(..),
             most_request: MOST_REQUEST,
             most_answer: MOST_ANSWER,
@@ -160,6 +112,13 @@
         self
     }
 
+    /// Hosts come from the platform's discovery at this address: asked for the whole list, then watched without a gap.
+    /// While it doesn't answer, the list held stays in force. `names` are those of the settings, by index.
+    pub fn discovery(mut self, agent: SocketAddr, names: ListNames) -> Builder {
+        self.discovery = Some((agent, names));
+        self
+    }
+
     /// What calls are, by path.
     pub fn methods(mut self, methods: Methods) -> Builder {
         self.methods = methods;
@@ -264,6 +223,7 @@
         );
         let (settings, names, seed, log) = (self.settings, self.names, self.seed, self.log);
         let (protocol, most_answer, hosts) = (self.protocol, self.most_answer, self.hosts);
+        let (discovery, news) = (self.discovery, handle.clone());
         let (started, starts) = mpsc::channel();
         let serve = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -279,6 +239,11 @@
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, async move {
                 relay.restore(vec![News::Whole(hosts)], left);
+                if let Some((agent, names)) = discovery {
+                    let (_stays, place) = watch::channel(agent);
+                    let told = move |list: List| news.list(News::of(&list, &names));
+                    tokio::task::spawn_local(Discovery::new(agent).watch(None, place, told));
+                }
                 relay.run().await;
             });
         };
--- a/crates/tower/src/carrier.rs
+++ b/crates/tower/src/carrier.rs
@@ -1,13 +1,14 @@
 //! Attempts, made by the caller's own services.
 
 use crate::body::{collect, Collected, NotWhole};
-use crate::builder::Host;
+use crate::host::Host;
 use crate::protocol::Protocol;
 use crate::stored;
 use http::{Request, Response};
 use http_body::Body;
 use linenhall::{Discovery, Endpoint, Listed, Outcome};
 use mulleinslip_engine::{Attempt, Ended};
+use mulleinslip_http::{Entry, List, ListNames};
 use mulleinslip_runtime::{CallOff, Carrier, Gate};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -76,6 +77,30 @@
     Changes(Vec<Host>),
 }
 
+impl News {
+    /// What the platform's discovery says. Its hosts speak plain HTTP.
+    pub fn of(list: &List, names: &ListNames) -> News {
+        let host = |e: &Entry| {
+            let known = names.endpoint(e);
+            Host {
+                name: known.name,
+                scheme: "http".into(),
+                authority: e.address.to_string(),
+                destination: known.destination,
+                zone: known.zone,
+                kind: known.kind,
+                weight: known.weight,
+                state: known.listed,
+            }
+        };
+        let hosts = list.endpoints.iter().map(host).collect();
+        match list.snapshot {
+            true => News::Whole(hosts),
+            false => News::Changes(hosts),
+        }
+    }
+}
+
 struct Known<S> {
     host: Host,
     service: Option<S>,
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -7,7 +7,8 @@
 //!   any thread, with or without a runtime.
 //! - What a call is — class, tenant, destination, budget, key — stands in its extensions ([`CallOptions`]) or in a
 //!   table by path ([`Methods`]).
-//! - Endpoints come from [`Endpoints`]: a fixed list at first, and news whenever the caller has some.
+//! - Hosts come as a fixed list ([`Builder::hosts`]), from the caller's own news ([`Endpoints`]), or from the platform's
+//!   discovery ([`Builder::discovery`]).
 //! - [`Protocol`] says how answers are read: gRPC unary calls, or plain HTTP.
 //!
 //! # What is promised
@@ -27,16 +28,19 @@
 mod client;
 mod error;
 mod front;
+mod host;
 mod layer;
 mod options;
 mod protocol;
 mod stored;
 
 pub use body::Collected;
-pub use builder::{Builder, Endpoints, Host, Running, StartError};
+pub use builder::{Builder, Endpoints, Running, StartError};
 pub use carrier::{Connect, Shared};
 pub use client::Client;
 pub use error::Error;
+pub use host::Host;
 pub use layer::{RelayLayer, Through};
+pub use mulleinslip_http::ListNames;
 pub use options::{CallOptions, Methods};
 pub use protocol::Protocol;
--- a/crates/tower/tests/hard.rs
+++ b/crates/tower/tests/hard.rs
@@ -1,8 +1,8 @@
 //! What callers do, and what partners do to them.
 mod common;
 use common::*;
-use mulleinslip_testkit::{until, Host as Partner, Reply};
-use mulleinslip_tower::{CallOptions, Error, Host};
+use mulleinslip_testkit::{until, Agent, Host as Partner, Reply};
+use mulleinslip_tower::{CallOptions, Error, Host, ListNames};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -179,6 +179,34 @@
     assert!(running.shutdown(Duration::from_secs(5)));
 }
 
+#[test]
+fn hosts_come_from_the_platforms_discovery_and_stay_while_it_is_down() {
+    let (old, new) = (Partner::ok(), Partner::ok());
+    let agent = Agent::new(&[("a", 1, &old)]);
+    let names = ListNames { zones: vec!["z".into()], kinds: vec!["k".into()] };
+    let (client, running) = start(builder(8, 40, &[]).discovery(agent.address, names), http());
+    until("the list", || call(&client, "safe", 1, "first").is_ok().then_some(()));
+    // It moves, and drains, and its destination gets another.
+    agent.list("a", 1, old.address, "leaving");
+    agent.list("b", 1, new.address, "active");
+    let mut n = 0;
+    until("the other", || {
+        n += 1;
+        assert_eq!(word(&call(&client, "unsafe", 1, &format!("on-{n}"))), "delivered");
+        new.calls_of(&format!("on-{n}")).gt(&0).then_some(())
+    });
+    let drained = old.heard().len();
+    agent.set_down(true);
+    for n in 0..5 {
+        assert_eq!(word(&call(&client, "unsafe", 1, &format!("down-{n}"))), "delivered");
+    }
+    assert_eq!(old.heard().len(), drained, "nothing new goes to what drains");
+    agent.set_down(false);
+    agent.list("c", 2, new.address, "active");
+    until("a destination that was not there", || call(&client, "safe", 2, "late").is_ok().then_some(()));
+    assert!(running.shutdown(Duration::from_secs(5)));
+}
+
 #[test]
 fn bad_calls_say_what_is_wrong_with_them() {
     let partner = Partner::ok();
