Second reading: a bound that dropped calls got past, one table of outcomes, harder tests

Need: reading the whole change once more showed: calls that are dropped at once no longer counted, though the engine's queue still held them, so the bound on waiting calls did not hold; a caller that joined a call heard 'stopped, did not run' when the first caller had gone; a probe that panics was never reported; the platform's table of outcomes, the parsing of Retry-After and the longest wait stood twice; files of the HTTP package imported through the root, a circle that the test did not see; the test of a call handed in twice would have passed without joining.

Change: a call counts until the engine lets go of it; whoever joins is marked as taken on and answered when the message is withdrawn; probes have the guard that attempts have; the table, Retry-After and the longest wait stand once; no imports through a root, and the test looks for them; a meaningless limit of the folder is gone. Tests for the bound, for joining, for a deadline while connecting, for a shutdown whose deadline ends with attempts out.

--- a/crates/daemon/tests/alike.rs
+++ b/crates/daemon/tests/alike.rs
@@ -10,7 +10,7 @@
 use mulleinslip_settings::FileSettings;
 use mulleinslip_testkit::*;
 use mulleinslip_tower::{
-    Builder, CallOptions, Client, Collected, Error, Host as TowerHost, Protocol, Running, Shared,
+    shared, Builder, CallOptions, Client, Collected, Error, Host as TowerHost, Protocol, Running,
 };
 use mulleinslip_traffic::{Message, Reader, Recorder};
 use serde::Deserialize;
@@ -315,7 +315,7 @@
         .seed(3)
         .hosts(hosts)
         .most_waiting(50_000)
-        .start(Shared(http))
+        .start(shared(http))
         .unwrap()
 }
 
--- a/crates/daemon/tests/imports.rs
+++ b/crates/daemon/tests/imports.rs
@@ -33,13 +33,19 @@
             } else if path.extension().is_some_and(|e| e == "rs") {
                 let inner = path.strip_prefix(package.join("src")).unwrap().with_extension("");
                 let name = inner.components().next().unwrap().as_os_str().to_string_lossy().into_owned();
-                texts.entry(name).or_default().push_str(&std::fs::read_to_string(&path).unwrap());
+                let text = std::fs::read_to_string(&path).unwrap();
+                // What comments point at is no import.
+                let code = text.lines().filter(|l| !l.trim_start().starts_with("//"));
+                code.for_each(|l| texts.entry(name.clone()).or_default().push_str(l));
             }
         }
     }
     let names: Vec<String> = texts.keys().filter(|n| *n != "lib" && *n != "main").cloned().collect();
     let arrows = names.iter().map(|name| {
         let text = &texts[name];
+        // The root points at every file: what comes through it closes a circle that no name shows.
+        let through = text.split("crate::").skip(1).find(|t| !t.starts_with(char::is_lowercase));
+        assert!(through.is_none(), "{}: {name} imports from the root", package.display());
         let to = names.iter().filter(|other| *other != name && text.contains(&format!("crate::{other}")));
         (name.clone(), to.cloned().collect())
     });
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -2,6 +2,10 @@
 
 use bytes::Bytes;
 use linenhall::{Discovery, Outcome};
+use std::time::Duration;
+
+/// No attempt is waited for any longer: an hour.
+const MOST_WAIT_MS: f64 = 3_600_000.0;
 
 /// A message as a front hands it in, read and checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -119,6 +123,13 @@
     pub wait_ms: f64,
 }
 
+impl Attempt {
+    /// [`Attempt::wait_ms`] as a span, an hour at most.
+    pub fn wait(&self) -> Duration {
+        Duration::from_secs_f64(self.wait_ms.clamp(0.0, MOST_WAIT_MS) / 1000.0)
+    }
+}
+
 /// How an attempt ended, as its carrier saw it. Whether it may have run follows from the outcome
 /// ([`Outcome::never_ran`]).
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -4,9 +4,10 @@
 use crate::conn::{bytes, Answer, Conn, Failure, Progress, SMALL};
 use crate::idle::Idle;
 use crate::list::{List, ListNames, Status};
+use crate::outcomes::Meaning;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HOST};
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::Request;
 use linenhall::{Discovery, Outcome};
 use mulleinslip_engine::{Attempt, Ended};
 use mulleinslip_runtime::{CallOff, Carrier, Gate};
@@ -25,14 +26,9 @@
 /// A kept connection that breaks so soon after a request was written, with nothing come back, was dead before: a
 /// round trip, and room for a slow machine. A host that fails its calls so soon shows it on new connections.
 const STALE: Duration = Duration::from_millis(100);
-/// The longest wait that is believed: a wait is a second or two, or until a destination that is shut opens.
-const MOST_WAIT_S: f64 = 60.0;
 /// The largest figure of a load report that is believed: no host takes so many calls a second.
 const MOST_REPORTED: f64 = 1e6;
 
-/// No attempt is waited for any longer: an hour.
-const MOST_CALL_MS: f64 = 3_600_000.0;
-
 const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
 const BUDGET: HeaderName = HeaderName::from_static("x-budget");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -198,22 +194,10 @@
         (!waits).then_some(host.address)
     }
 
-    /// PROTOCOL's table of outcomes.
+    /// What an answer means, as it came.
     fn read(&self, endpoint: &str, answer: &Answer) -> Ended<()> {
-        let wait_ms = wait_ms(&answer.headers);
         let report = answer.headers.get("X-Load-Report").and_then(|v| self.report(v.as_bytes()));
-        let (outcome, settled) = match answer.status {
-            StatusCode::OK => (Outcome::Delivered, true),
-            StatusCode::TOO_MANY_REQUESTS => (Outcome::Full, false),
-            StatusCode::SERVICE_UNAVAILABLE if answer.headers.contains_key("X-No-Slot") => {
-                (Outcome::NotSent, false)
-            }
-            StatusCode::SERVICE_UNAVAILABLE => (Outcome::Full, false),
-            StatusCode::GATEWAY_TIMEOUT => (Outcome::NotSent, false),
-            StatusCode::GONE => (Outcome::NotSent, true),
-            // 500, and what the protocol doesn't know: it may have run.
-            _ => (Outcome::Error, false),
-        };
+        let Meaning { outcome, settled, wait_ms } = Meaning::of(answer.status, &answer.headers);
         // Only an answer that came whole, and alone, proves by its status that a call never ran or is over. A
         // wait that was told stands all the same, unless the answer broke off.
         let whole = answer.body.is_some();
@@ -280,7 +264,7 @@
 
     async fn attempt(&self, call: &Attempt, gate: &dyn Gate, mut off: CallOff) -> Ended<()> {
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
-        let wait = Duration::from_secs_f64(call.wait_ms.clamp(0.0, MOST_CALL_MS) / 1000.0);
+        let wait = call.wait();
         let request = || {
             let mut request = Request::post("/inbox")
                 .header(CALL_ID, &call.call_id)
@@ -347,10 +331,3 @@
 fn lane(endpoint: &str, host: &Host) -> Lane {
     (host.dest, host.apart.then(|| endpoint.to_string()))
 }
-
-/// `Retry-After` in milliseconds, 0 if there is none.
-fn wait_ms(headers: &HeaderMap) -> f64 {
-    let text = headers.get("Retry-After").and_then(|v| v.to_str().ok());
-    let seconds = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|s| s.is_finite());
-    seconds.map_or(0.0, |s| s.clamp(0.0, MOST_WAIT_S) * 1000.0)
-}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,9 +1,8 @@
 //! The front as the engine sees it: a client that waits hears whether its message was taken on, and the platform
 //! hears by notice how one ended that was taken on and not delivered.
 
-use crate::intake::Answer;
+use crate::answer::{Answer, Ticket};
 use crate::notices::Notice;
-use crate::Ticket;
 use mulleinslip_engine::{Final, Told, Turned};
 use mulleinslip_runtime::Front;
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,8 +1,9 @@
 //! What clients hand in: reads and checks it, and answers at once. Nothing here trusts what it reads.
 
+use crate::answer::Answer;
 use crate::conn::{bytes, collect, Body};
 use crate::guest::Guest;
-use crate::Handle;
+use crate::handle::Handle;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
@@ -21,14 +22,6 @@
 /// A body that is late is answered so long before its connection would be closed.
 const BODY_MARGIN: Duration = Duration::from_millis(200);
 
-/// What a client is told.
-#[derive(Debug)]
-pub enum Answer {
-    Taken,
-    Refused { retry_after_ms: Option<f64> },
-    Failed,
-}
-
 /// What all client connections share.
 pub struct Intake {
     pub names: Names,
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -2,7 +2,7 @@
 //! again until it is answered 204, to where the platform is now; one for a message that is over does no harm.
 
 use crate::conn::{backoff, bytes, Conn, SMALL};
-use crate::Handle;
+use crate::handle::Handle;
 use hyper::{Request, StatusCode};
 use serde_json::json;
 use std::net::SocketAddr;
--- a/crates/runtime/src/serve.rs
+++ b/crates/runtime/src/serve.rs
@@ -206,16 +206,39 @@
     }
 
     fn probe(&self, endpoint: String) {
-        let (carrier, handle) = (self.carrier.clone(), self.handle.clone());
+        let carrier = self.carrier.clone();
+        let seen = (Outcome::NoConnection, Vec::new());
+        let mut probing = Probing { handle: self.handle.clone(), endpoint, began: Instant::now(), seen };
         tokio::task::spawn_local(async move {
-            let began = Instant::now();
-            let (outcome, report) = carrier.probe(&endpoint).await;
-            let took_ms = began.elapsed().as_secs_f64() * 1000.0;
-            handle.put(Happened::Input(Input::Probed { endpoint, outcome, took_ms, report }));
+            let seen = carrier.probe(&probing.endpoint).await;
+            probing.see(seen);
         });
     }
 }
 
+/// Tells what a probe showed, whatever happens to its task: the module waits for it.
+struct Probing<T, C: Carrier> {
+    handle: Handle<T, C>,
+    endpoint: String,
+    began: Instant,
+    seen: (Outcome, Vec<f64>),
+}
+
+impl<T, C: Carrier> Probing<T, C> {
+    fn see(&mut self, seen: (Outcome, Vec<f64>)) {
+        self.seen = seen;
+    }
+}
+
+impl<T, C: Carrier> Drop for Probing<T, C> {
+    fn drop(&mut self) {
+        let took_ms = self.began.elapsed().as_secs_f64() * 1000.0;
+        let (endpoint, report) = (std::mem::take(&mut self.endpoint), std::mem::take(&mut self.seen.1));
+        let probed = Input::Probed { endpoint, outcome: self.seen.0, took_ms, report };
+        self.handle.put(Happened::Input(probed));
+    }
+}
+
 /// Tells how an attempt ended, whatever happens to its task: one that panics may have run.
 struct Ending<T, C: Carrier> {
     handle: Handle<T, C>,
--- a/crates/tower/src/builder.rs
+++ b/crates/tower/src/builder.rs
@@ -30,8 +30,6 @@
 const MOST_ANSWER: usize = 4 << 20;
 /// Calls that wait at once: with requests of a KiB or so they hold some 16 MB.
 const MOST_WAITING: usize = 16_384;
-/// The folder's limit, in bytes.
-const MOST_DISK: u64 = 64_000_000;
 
 /// Where the relay hears of hosts. A clone speaks to the same relay.
 #[derive(Clone)]
@@ -134,7 +132,7 @@
     /// Keeps what is taken on in this folder, of its own, up to so many bytes. Without one nothing outlasts the
     /// process.
     pub fn folder(mut self, folder: impl Into<PathBuf>, most_bytes: u64) -> Builder {
-        self.folder = Some((folder.into(), most_bytes.min(MOST_DISK * 1000)));
+        self.folder = Some((folder.into(), most_bytes));
         self
     }
 
@@ -211,7 +209,7 @@
             clock,
             most_request: self.most_request,
             most_waiting: self.most_waiting,
-            waiting: AtomicUsize::new(0),
+            waiting: Arc::new(AtomicUsize::new(0)),
             prefix: fastrand::u128(..),
             made: AtomicU64::new(0),
         };
--- a/crates/tower/src/carrier.rs
+++ b/crates/tower/src/carrier.rs
@@ -17,9 +17,6 @@
 use std::time::{Duration, Instant};
 use tower_service::Service;
 
-/// No attempt is waited for any longer: an hour.
-const MOST_CALL_MS: f64 = 3_600_000.0;
-
 /// Makes a service for a host, on the engine's thread, when the first attempt goes there. Closures are such.
 ///
 /// An attempt waits until its service is ready and only then counts as begun. So a service that connects before it
@@ -53,20 +50,8 @@
 }
 
 /// One service for all hosts, which reads from the request's URI where to go, as HTTP clients with a pool do.
-pub struct Shared<S>(pub S);
-
-impl<S, B, E> Connect for Shared<S>
-where
-    S: Service<Request<Collected>, Response = Response<B>, Error = E> + Clone + Send + 'static,
-    B: Body + 'static,
-    E: Into<Box<dyn Error + Send + Sync>> + 'static,
-{
-    type Service = S;
-    type Body = B;
-    type Error = E;
-    fn connect(&self, _: &Host) -> S {
-        self.0.clone()
-    }
+pub fn shared<S: Clone>(service: S) -> impl Fn(&Host) -> S {
+    move |_| service.clone()
 }
 
 /// News of the hosts.
@@ -240,7 +225,7 @@
     }
 
     async fn attempt(&self, attempt: &Attempt, gate: &dyn Gate, mut off: CallOff) -> Ended<Answer> {
-        let wait = Duration::from_secs_f64(attempt.wait_ms.clamp(0.0, MOST_CALL_MS) / 1000.0);
+        let wait = attempt.wait();
         let begun = Cell::new(false);
         let outcome = tokio::select! {
             biased;
--- a/crates/tower/src/client.rs
+++ b/crates/tower/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::body::{collect, Collected, NotWhole};
 use crate::error::Error;
-use crate::front::{Answer, End, Place, Ticket};
+use crate::front::{Answer, Counted, End, Place, Ticket, COME_AGAIN};
 use crate::options::{CallOptions, Methods};
 use crate::protocol::Protocol;
 use crate::stored;
@@ -22,9 +22,6 @@
 
 /// The longest id or key.
 const MOST_ID: usize = 256;
-/// When to come back, for a call that finds too many others waiting.
-const COME_AGAIN: Duration = Duration::from_millis(500);
-
 /// The engine's queue, whatever its carrier is.
 pub trait Queue: Send + Sync {
     fn hand_in(&self, message: Box<Message>, ticket: Ticket) -> bool;
@@ -41,7 +38,7 @@
     pub most_request: usize,
     /// Calls that may wait for an end at once: each holds its request in memory.
     pub most_waiting: usize,
-    pub waiting: AtomicUsize,
+    pub waiting: Arc<AtomicUsize>,
     /// What makes ids of this process differ from those of others.
     pub prefix: u128,
     pub made: AtomicU64,
@@ -60,7 +57,6 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.shared.waiting.fetch_sub(1, Ordering::AcqRel);
         if !self.over {
             self.place.leave().into_iter().for_each(|id| self.shared.queue.withdraw(id));
         }
@@ -82,19 +78,17 @@
     pub async fn send<B: Body>(&self, request: Request<B>) -> Result<Answer, Error> {
         let shared = &*self.0;
         // Counted first, so that a flood is refused before its bodies are read.
-        let place = Place::default();
-        let before = shared.waiting.fetch_add(1, Ordering::AcqRel);
-        let mut waiting = Waiting { shared, place: place.clone(), over: true };
-        if before >= shared.most_waiting {
+        let Some(counted) = Counted::new(&shared.waiting, shared.most_waiting) else {
             return Err(Error::Refused { retry_after: Some(COME_AGAIN), may_have_run: false, last: None });
-        }
+        };
         let message = shared.message(request).await?;
         let (end, ended) = oneshot::channel::<End>();
-        waiting.over = false;
-        if !shared.queue.hand_in(Box::new(message), Ticket { place: place.clone(), end }) {
-            waiting.over = true;
+        let place = Place::default();
+        let ticket = Ticket { place: place.clone(), end, _counted: counted };
+        if !shared.queue.hand_in(Box::new(message), ticket) {
             return Err(Error::Stopped { taken: false });
         }
+        let mut waiting = Waiting { shared, place: place.clone(), over: false };
         let end = ended.await;
         waiting.over = true;
         end.unwrap_or_else(|_| Err(Error::Stopped { taken: place.taken() }))
--- a/crates/tower/src/front.rs
+++ b/crates/tower/src/front.rs
@@ -6,7 +6,7 @@
 use mulleinslip_engine::{Final, Told, Turned};
 use mulleinslip_runtime::Front;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -21,6 +21,9 @@
 /// Others wait for it too, so its caller's going away ends nothing.
 const SHARED: u64 = u64::MAX - 1;
 
+/// When to come back, for a call that is refused before the engine has it.
+pub const COME_AGAIN: Duration = Duration::from_millis(500);
+
 /// Where a call is between its caller and the engine.
 #[derive(Clone, Default)]
 pub struct Place(Arc<AtomicU64>);
@@ -44,8 +47,27 @@
         self.0.compare_exchange(NOT_TAKEN, id, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
 
-    fn share(&self, id: u64) {
-        let _gone = self.0.compare_exchange(id, SHARED, Ordering::AcqRel, Ordering::Acquire);
+    /// Others wait for its message as well; `from` is the message, or [`NOT_TAKEN`] for one of the others.
+    fn share(&self, from: u64) {
+        let _gone = self.0.compare_exchange(from, SHARED, Ordering::AcqRel, Ordering::Acquire);
+    }
+}
+
+/// A call that counts against the bound on calls that wait. It lasts until the engine has let go of the call, not
+/// only until its caller has: whoever drops calls as fast as it makes them must not fill the queue.
+pub struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    /// `None` if as many wait as may.
+    pub fn new(waiting: &Arc<AtomicUsize>, most: usize) -> Option<Counted> {
+        let counted = Counted(waiting.clone());
+        (waiting.fetch_add(1, Ordering::AcqRel) < most).then_some(counted)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -53,6 +75,7 @@
 pub struct Ticket {
     pub place: Place,
     pub end: oneshot::Sender<End>,
+    pub _counted: Counted,
 }
 
 /// Told of the end of a call that an earlier process had taken on: the caller's id for it, and the end.
@@ -120,6 +143,7 @@
                 if let Some(first) = self.waiting.get(&id) {
                     first.place.share(id);
                 }
+                ticket.place.share(NOT_TAKEN);
                 self.also.entry(id).or_default().push(ticket);
             }
             Told::Turned { ticket, why } => {
@@ -162,6 +186,47 @@
 
     fn withdrawn(&mut self, id: u64) {
         self.waiting.remove(&id);
-        self.also.remove(&id);
+        // They came between the first caller's going and this. The message is gone, and may have run.
+        for ticket in self.also.remove(&id).unwrap_or_default() {
+            let end = Error::Refused { retry_after: Some(COME_AGAIN), may_have_run: true, last: None };
+            let _gone = ticket.end.send(Err(end));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ticket(waiting: &Arc<AtomicUsize>) -> (Ticket, Place, oneshot::Receiver<End>) {
+        let (end, ended) = oneshot::channel();
+        let place = Place::default();
+        let _counted = Counted::new(waiting, 10).unwrap();
+        (Ticket { place: place.clone(), end, _counted }, place, ended)
+    }
+
+    #[test]
+    fn whoever_joins_a_call_is_answered_whatever_its_first_caller_does() {
+        let waiting = Arc::default();
+        let mut front = TowerFront::new(Box::new(|_, _| ()), Box::new(|_| ()), Box::new(|_| ()));
+        // The first goes before the second joins, and its message with it.
+        let (first, place, _ended) = ticket(&waiting);
+        front.told(Told::Taken { id: 1, ticket: first });
+        assert_eq!(place.leave(), Some(1));
+        let (second, joined, mut ended) = ticket(&waiting);
+        front.told(Told::Known { id: 1, ticket: second });
+        assert!(joined.taken() && joined.leave().is_none());
+        front.withdrawn(1);
+        assert!(matches!(ended.try_recv(), Ok(Err(e)) if e.may_have_run()));
+        // It goes after: the message stays.
+        let (first, place, _ended) = ticket(&waiting);
+        front.told(Told::Taken { id: 2, ticket: first });
+        let (second, _, mut ended) = ticket(&waiting);
+        front.told(Told::Known { id: 2, ticket: second });
+        assert_eq!(place.leave(), None);
+        let answer = Final::Delivered(Response::new(Collected::default()));
+        front.told(Told::Final { id: 2, call_id: "c".into(), answer });
+        assert!(matches!(ended.try_recv(), Ok(Ok(_))));
+        assert_eq!(waiting.load(Ordering::SeqCst), 0, "nothing counts any more");
     }
 }
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use body::Collected;
 pub use builder::{Builder, Endpoints, Running, StartError};
-pub use carrier::{Connect, Shared};
+pub use carrier::{shared, Connect};
 pub use client::Client;
 pub use error::Error;
 pub use host::Host;
--- a/crates/tower/src/protocol.rs
+++ b/crates/tower/src/protocol.rs
@@ -3,6 +3,7 @@
 use crate::body::Collected;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use linenhall::Outcome;
+use mulleinslip_http::{retry_after_ms, Meaning};
 use std::error::Error;
 use std::time::Duration;
 
@@ -28,23 +29,13 @@
     Platform,
 }
 
-/// What an answer means.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Meaning {
-    pub outcome: Outcome,
-    pub settled: bool,
-    pub wait_ms: f64,
+const fn plain(outcome: Outcome) -> Meaning {
+    Meaning { outcome, settled: false, wait_ms: 0.0 }
 }
 
-impl Meaning {
-    const fn plain(outcome: Outcome) -> Meaning {
-        Meaning { outcome, settled: false, wait_ms: 0.0 }
-    }
-    const DELIVERED: Meaning = Meaning { outcome: Outcome::Delivered, settled: true, wait_ms: 0.0 };
-    /// Also a word that says no is an answer, and shows that the partner is well.
-    const SAID: Meaning = Meaning::DELIVERED;
-    const OVER: Meaning = Meaning { outcome: Outcome::NotSent, settled: true, wait_ms: 0.0 };
-}
+const DELIVERED: Meaning = Meaning { outcome: Outcome::Delivered, settled: true, wait_ms: 0.0 };
+/// Also a word that says no is an answer, and shows that the partner is well.
+const SAID: Meaning = DELIVERED;
 
 impl Protocol {
     /// Puts in what a partner needs to know of an attempt.
@@ -82,25 +73,14 @@
         match self {
             Protocol::Grpc => grpc(answer),
             Protocol::Http => match status.as_u16() {
-                200..300 => Meaning::DELIVERED,
-                429 => full(http_wait_ms(answer.headers())),
-                503 if answer.headers().contains_key("retry-after") => full(http_wait_ms(answer.headers())),
-                408 | 425 => Meaning::plain(Outcome::Error),
-                300..500 => Meaning::SAID,
-                _ => Meaning::plain(Outcome::Error),
-            },
-            Protocol::Platform => match status {
-                StatusCode::OK => Meaning::DELIVERED,
-                StatusCode::SERVICE_UNAVAILABLE if answer.headers().contains_key("x-no-slot") => {
-                    Meaning::plain(Outcome::NotSent)
-                }
-                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                    full(http_wait_ms(answer.headers()))
-                }
-                StatusCode::GATEWAY_TIMEOUT => Meaning::plain(Outcome::NotSent),
-                StatusCode::GONE => Meaning::OVER,
-                _ => Meaning::plain(Outcome::Error),
+                200..300 => DELIVERED,
+                429 => full(retry_after_ms(answer.headers())),
+                503 if answer.headers().contains_key("retry-after") => full(retry_after_ms(answer.headers())),
+                408 | 425 => plain(Outcome::Error),
+                300..500 => SAID,
+                _ => plain(Outcome::Error),
             },
+            Protocol::Platform => Meaning::of(status, answer.headers()),
         }
     }
 
@@ -131,38 +111,31 @@
     Meaning { outcome: Outcome::Full, settled: false, wait_ms: wait_ms.clamp(0.0, MOST_WAIT_MS) }
 }
 
-/// `Retry-After` in milliseconds; 0 if there is none in seconds.
-fn http_wait_ms(headers: &HeaderMap) -> f64 {
-    let text = headers.get("retry-after").and_then(|v| v.to_str().ok());
-    let seconds = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|s| s.is_finite());
-    seconds.map_or(0.0, |s| s.clamp(0.0, MOST_WAIT_MS / 1000.0) * 1000.0)
-}
-
 fn grpc(answer: &Response<Collected>) -> Meaning {
     // In the trailers, or in the head where there is nothing but a head. One in the head of an answer with a
     // message or with trailers proves nothing.
     let alone = answer.body().data().is_empty() && answer.body().trailers().is_none();
     let Some(fields) = answer.body().trailers().or(alone.then_some(answer.headers())) else {
-        return Meaning::plain(Outcome::Broken);
+        return plain(Outcome::Broken);
     };
     if answer.status() != StatusCode::OK {
         // Not from a gRPC server; what stands between may have passed the call on.
-        return Meaning::plain(Outcome::Error);
+        return plain(Outcome::Error);
     }
     let number = |name: &str| fields.get(name).and_then(|v| v.to_str().ok()?.parse::<i64>().ok());
-    let Some(status) = number("grpc-status") else { return Meaning::plain(Outcome::Error) };
+    let Some(status) = number("grpc-status") else { return plain(Outcome::Error) };
     let unseen = answer.body().data().is_empty();
     match status {
-        0 => Meaning::DELIVERED,
+        0 => DELIVERED,
         // INVALID_ARGUMENT, NOT_FOUND, ALREADY_EXISTS, PERMISSION_DENIED, FAILED_PRECONDITION, ABORTED,
         // OUT_OF_RANGE, UNIMPLEMENTED, UNAUTHENTICATED
-        3 | 5 | 6 | 7 | 9 | 10 | 11 | 12 | 16 => Meaning::SAID,
+        3 | 5 | 6 | 7 | 9 | 10 | 11 | 12 | 16 => SAID,
         // RESOURCE_EXHAUSTED, UNAVAILABLE
         8 | 14 if unseen => match number("grpc-retry-pushback-ms") {
             Some(ms) if ms >= 0 => full(ms as f64),
-            _ => Meaning::plain(Outcome::Error),
+            _ => plain(Outcome::Error),
         },
-        _ => Meaning::plain(Outcome::Error),
+        _ => plain(Outcome::Error),
     }
 }
 
@@ -187,8 +160,8 @@
             let text = status.to_string();
             let meaning = grpc_answer(Some(&[("grpc-status", &text)]), &[], b"x");
             let expected = match status {
-                0 | 3 | 5 | 6 | 7 | 9 | 10 | 11 | 12 | 16 => Meaning::DELIVERED,
-                _ => Meaning::plain(Outcome::Error),
+                0 | 3 | 5 | 6 | 7 | 9 | 10 | 11 | 12 | 16 => DELIVERED,
+                _ => plain(Outcome::Error),
             };
             assert_eq!(meaning, expected, "status {status}");
             assert_eq!(grpc_answer(None, &[("grpc-status", &text)], b""), expected, "alone, status {status}");
@@ -200,17 +173,17 @@
         let pushed = [("grpc-status", "14"), ("grpc-retry-pushback-ms", "250")];
         assert_eq!(grpc_answer(None, &pushed, b""), full(250.0));
         assert_eq!(grpc_answer(Some(&pushed), &[], b""), full(250.0));
-        assert_eq!(grpc_answer(Some(&pushed), &[], b"x"), Meaning::plain(Outcome::Error));
+        assert_eq!(grpc_answer(Some(&pushed), &[], b"x"), plain(Outcome::Error));
         let never = [("grpc-status", "8"), ("grpc-retry-pushback-ms", "-1")];
-        assert_eq!(grpc_answer(None, &never, b""), Meaning::plain(Outcome::Error));
+        assert_eq!(grpc_answer(None, &never, b""), plain(Outcome::Error));
     }
 
     #[test]
     fn an_answer_cut_off_is_never_delivered() {
         // A message came, and no trailers: whatever the head says.
-        assert_eq!(grpc_answer(None, &[("grpc-status", "0")], b"x"), Meaning::plain(Outcome::Broken));
-        assert_eq!(grpc_answer(None, &[], b""), Meaning::plain(Outcome::Error));
-        assert_eq!(grpc_answer(Some(&[("grpc-status", "zero")]), &[], b"x"), Meaning::plain(Outcome::Error));
+        assert_eq!(grpc_answer(None, &[("grpc-status", "0")], b"x"), plain(Outcome::Broken));
+        assert_eq!(grpc_answer(None, &[], b""), plain(Outcome::Error));
+        assert_eq!(grpc_answer(Some(&[("grpc-status", "zero")]), &[], b"x"), plain(Outcome::Error));
     }
 
     #[test]
@@ -230,14 +203,17 @@
             after.map(|a| answer.headers_mut().insert("retry-after", a.parse().unwrap()));
             protocol.read(&answer)
         };
-        assert_eq!(read(Protocol::Http, 204, None), Meaning::DELIVERED);
-        assert_eq!(read(Protocol::Http, 404, None), Meaning::SAID);
+        assert_eq!(read(Protocol::Http, 204, None), DELIVERED);
+        assert_eq!(read(Protocol::Http, 404, None), SAID);
         assert_eq!(read(Protocol::Http, 429, Some("1.5")), full(1500.0));
-        assert_eq!(read(Protocol::Http, 503, None), Meaning::plain(Outcome::Error));
+        assert_eq!(read(Protocol::Http, 503, None), plain(Outcome::Error));
         assert_eq!(read(Protocol::Http, 503, Some("nonsense")), full(0.0));
-        assert_eq!(read(Protocol::Http, 504, None), Meaning::plain(Outcome::Error));
-        assert_eq!(read(Protocol::Platform, 504, None), Meaning::plain(Outcome::NotSent));
-        assert_eq!(read(Protocol::Platform, 410, None), Meaning::OVER);
-        assert_eq!(read(Protocol::Platform, 201, None), Meaning::plain(Outcome::Error));
+        assert_eq!(read(Protocol::Http, 504, None), plain(Outcome::Error));
+        assert_eq!(read(Protocol::Platform, 504, None), plain(Outcome::NotSent));
+        assert_eq!(
+            read(Protocol::Platform, 410, None),
+            Meaning { outcome: Outcome::NotSent, settled: true, wait_ms: 0.0 }
+        );
+        assert_eq!(read(Protocol::Platform, 201, None), plain(Outcome::Error));
     }
 }
--- a/crates/tower/tests/common/mod.rs
+++ b/crates/tower/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use linenhall::{Class, Effect, Group, Settings};
 use mulleinslip_engine::Names;
 use mulleinslip_testkit::Host as Partner;
-use mulleinslip_tower::{Builder, CallOptions, Client, Collected, Connect, Error, Host, Protocol, Shared};
+use mulleinslip_tower::{shared, Builder, CallOptions, Client, Collected, Connect, Error, Host, Protocol};
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -60,8 +60,16 @@
     Names { classes, tenants: vec!["acme".into()] }
 }
 
-pub fn http() -> Shared<hyper_util::client::legacy::Client<HttpConnector, Collected>> {
-    Shared(hyper_util::client::legacy::Client::builder(TokioExecutor::new()).build(HttpConnector::new()))
+pub type Http = hyper_util::client::legacy::Client<HttpConnector, Collected>;
+
+/// A client that sends nothing again by itself.
+pub fn plain() -> Http {
+    let mut client = hyper_util::client::legacy::Client::builder(TokioExecutor::new());
+    client.retry_canceled_requests(false).build(HttpConnector::new())
+}
+
+pub fn http() -> impl Fn(&Host) -> Http {
+    shared(plain())
 }
 
 pub fn builder(slots: usize, max_open: usize, hosts: &[(&str, u64, &Partner)]) -> Builder {
--- a/crates/tower/tests/folder.rs
+++ b/crates/tower/tests/folder.rs
@@ -61,6 +61,19 @@
 
 #[test]
 fn dropped_with_attempts_out_it_is_carried_on_as_each_class_allows() {
+    carried_on(drop);
+}
+
+#[test]
+fn so_it_is_after_a_shutdown_whose_deadline_ends_with_attempts_out() {
+    carried_on(|running| {
+        let start = Instant::now();
+        assert!(!running.shutdown(Duration::from_millis(400)), "attempts are out");
+        assert!(start.elapsed() < Duration::from_millis(2000), "{:?}", start.elapsed());
+    });
+}
+
+fn carried_on(end: impl FnOnce(mulleinslip_tower::Running)) {
     let folder = Folder::new();
     let late = Arc::new(AtomicUsize::new(1));
     let slow = late.clone();
@@ -77,7 +90,7 @@
         })
         .into();
     partner.wait_calls(3);
-    drop(running);
+    end(running);
     for caller in callers {
         let end = caller.join().unwrap();
         assert!(matches!(&end, Err(e) if e.may_have_run()) && word(&end) == "stopped", "{end:?}");
--- a/crates/tower/tests/hard.rs
+++ b/crates/tower/tests/hard.rs
@@ -2,8 +2,9 @@
 mod common;
 use common::*;
 use mulleinslip_testkit::{until, Agent, Host as Partner, Reply};
-use mulleinslip_tower::{CallOptions, Error, Host, ListNames};
+use mulleinslip_tower::{CallOptions, Collected, Error, Host, ListNames};
 use std::collections::HashMap;
+use std::future::Future;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -128,10 +129,10 @@
 #[test]
 fn a_panic_in_a_layer_below_costs_its_attempt_and_nothing_else() {
     let partner = Partner::ok();
-    let below = Tapped(http().0, |r: &http::Request<_>| {
+    let below = Tapped(plain(), |r: &http::Request<_>| {
         assert!(r.headers()["x-call-id"] != "cursed", "a bug of the caller's own");
     });
-    let (client, running) = start(builder(8, 40, &[("h", 1, &partner)]), mulleinslip_tower::Shared(below));
+    let (client, running) = start(builder(8, 40, &[("h", 1, &partner)]), mulleinslip_tower::shared(below));
     let end = call(&client, "unsafe", 1, "cursed");
     assert!(matches!(&end, Err(e) if e.may_have_run()), "{end:?}");
     assert_eq!(partner.calls_of("cursed"), 0);
@@ -229,18 +230,75 @@
 
 #[test]
 fn the_same_call_twice_is_one_call_with_one_end() {
-    let partner = Partner::new(|_, _| Reply::Late(100));
+    let partner = Partner::new(|_, _| Reply::Late(300));
     let (client, running) = start(builder(8, 40, &[("h", 1, &partner)]), http());
-    let twice: Vec<_> = (0..2)
-        .map(|_| {
-            let client = client.clone();
-            std::thread::spawn(move || word(&call(&client, "unsafe", 1, "same")))
-        })
-        .collect();
-    let words: Vec<_> = twice.into_iter().map(|t| t.join().unwrap()).collect();
-    assert!(words.contains(&"delivered"), "{words:?}");
-    // Handed in within one round the second one is turned away, to come again.
-    assert!(words.iter().all(|w| ["delivered", "refused"].contains(w)), "{words:?}");
+    let theirs = client.clone();
+    let first = std::thread::spawn(move || word(&call(&theirs, "unsafe", 1, "same")));
+    until("the call", || (partner.calls_of("same") == 1).then_some(()));
+    assert_eq!(word(&call(&client, "unsafe", 1, "same")), "delivered");
+    assert_eq!(first.join().unwrap(), "delivered");
     assert_eq!(partner.calls_of("same"), 1);
     assert!(running.shutdown(Duration::from_secs(5)));
 }
+
+/// Polled once and dropped, as fast as may be, while the engine's thread is held up: what the engine has not let go
+/// of still counts.
+#[test]
+fn calls_dropped_at_once_do_not_get_past_the_bound() {
+    const MOST: usize = 16;
+    let partner = Partner::ok();
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = Arc::new(std::sync::Mutex::new(held));
+    let below = Tapped(plain(), move |r: &http::Request<_>| {
+        if r.headers()["x-call-id"] == "holds" {
+            let _released = held.lock().unwrap().recv();
+        }
+    });
+    let builder = builder(8, 40, &[("h", 1, &partner)]).most_waiting(MOST);
+    let (client, running) = start(builder, mulleinslip_tower::shared(below));
+    let theirs = client.clone();
+    let holds = std::thread::spawn(move || word(&call(&theirs, "safe", 1, "holds")));
+    let waker = std::task::Waker::noop();
+    let refused = until("the bound", || {
+        let mut refused = 0;
+        for n in 0..10 * MOST {
+            let options = CallOptions::new("safe", 1).call_id(format!("dropped-{n}"));
+            let mut once = std::pin::pin!(client.send(order(options)));
+            let polled = once.as_mut().poll(&mut std::task::Context::from_waker(waker));
+            refused += usize::from(matches!(polled, std::task::Poll::Ready(Err(Error::Refused { .. }))));
+        }
+        // The engine may not have come to the call that holds it up before.
+        (refused >= 9 * MOST).then_some(refused)
+    });
+    assert!(refused <= 10 * MOST);
+    release.send(()).unwrap();
+    assert_eq!(holds.join().unwrap(), "delivered");
+    until("room again", || (word(&call(&client, "safe", 1, "after")) == "delivered").then_some(()));
+    assert!(running.shutdown(Duration::from_secs(5)));
+}
+
+/// A service that connects before it is ready, and never gets there.
+#[derive(Clone)]
+struct Connecting;
+
+impl tower_service::Service<http::Request<Collected>> for Connecting {
+    type Response = http::Response<Collected>;
+    type Error = std::io::Error;
+    type Future = std::future::Ready<Result<Self::Response, std::io::Error>>;
+    fn poll_ready(&mut self, _: &mut std::task::Context) -> std::task::Poll<Result<(), std::io::Error>> {
+        std::task::Poll::Pending
+    }
+    fn call(&mut self, _: http::Request<Collected>) -> Self::Future {
+        panic!("it is never ready")
+    }
+}
+
+#[test]
+fn a_deadline_that_ends_during_the_connect_never_ran() {
+    let hosts = vec![Host::new("h", 1, "127.0.0.1:9")];
+    let (client, running) = start(builder(8, 40, &[]).hosts(hosts), mulleinslip_tower::shared(Connecting));
+    let options = CallOptions::new("unsafe", 1).budget(Duration::from_millis(300)).call_id("connecting");
+    let end = wait(client.send(order(options)));
+    assert!(matches!(&end, Err(e) if !e.may_have_run()), "{end:?}");
+    assert!(running.shutdown(Duration::from_secs(5)));
+}
