A second address: check, figures, and sending clients away

Change: package control (line protocol and figures without I/O, a thin listener of 8 callers; one that says nothing loses its place to the next). The engine tallies ends by class, the carrier counts a message once its last byte is written, the module counts hosts it avoids. Drain: health says no at once; from 0.3 s on each answer closes its connection; at 2.3 s idle ones are closed; at 3.6 s whoever is left. Rejected: closing idle connections at once, as at SIGTERM: it crosses requests of clients that still use them, and the 4 s leave time for all but the quiet ones to hear a closing answer.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -16,6 +16,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The second address, for on-call staff; none, where none is told.
+    pub control: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
@@ -35,6 +37,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     #[serde(default)]
     seed: String,
     limits: FileLimits,
@@ -55,10 +58,13 @@
 
 /// An address from the environment, or else from the configuration.
 fn told(what: &str, env: &str, file: Option<&String>) -> Result<SocketAddr, String> {
-    let text = std::env::var(env).ok().or_else(|| file.cloned());
-    let text =
-        text.ok_or_else(|| format!("{what} is missing: neither {env} nor the configuration has it"))?;
-    address(what, &text)
+    let told = told_perhaps(what, env, file)?;
+    told.ok_or_else(|| format!("{what} is missing: neither {env} nor the configuration has it"))
+}
+
+fn told_perhaps(what: &str, env: &str, file: Option<&String>) -> Result<Option<SocketAddr>, String> {
+    let text = std::env::var(env).ok().or_else(|| file.cloned()).filter(|text| !text.is_empty());
+    text.map(|text| address(what, &text)).transpose()
 }
 
 /// Reads and checks the file.
@@ -83,7 +89,8 @@
 /// Checks a file without serving. Gives what it says, in a line.
 pub fn check(path: &Path) -> Result<String, String> {
     let (file, Read { settings, .. }) = load(path)?;
-    for (what, text) in [("listen", &file.listen), ("discovery", &file.discovery)] {
+    for (what, text) in [("listen", &file.listen), ("discovery", &file.discovery), ("control", &file.control)]
+    {
         text.as_ref().map(|t| address(what, t)).transpose()?;
     }
     Ok(format!(
@@ -107,6 +114,7 @@
         name: std::env::var("ROUTER_NAME").unwrap_or(file.name),
         listen: told("listen", "ROUTER_LISTEN", file.listen.as_ref())?,
         discovery: told("discovery", "ROUTER_DISCOVERY", file.discovery.as_ref())?,
+        control: told_perhaps("control", "ROUTER_CONTROL", file.control.as_ref())?,
         state: state.into(),
         seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
         sockets: file.limits.sockets,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod config;
+mod operate;
 mod serve;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/daemon/src/operate.rs
@@ -0,0 +1,71 @@
+//! What on-call staff operate: the parts that answer the second address.
+
+use mulleinslip_control::{Ends, Figures, Operated};
+use mulleinslip_engine::{Engine, Names};
+use mulleinslip_http::{Clients, HttpCarrier, Intake};
+use mulleinslip_journal::Journal;
+use mulleinslip_runtime::Clock;
+use std::cell::{OnceCell, RefCell};
+use std::rc::Rc;
+
+/// The parts that stand once the process serves.
+pub struct Serving {
+    pub clients: Rc<Clients>,
+    pub carrier: Rc<HttpCarrier>,
+    pub engine: Rc<RefCell<Engine<Journal, ()>>>,
+    pub intake: Rc<Intake>,
+    pub clock: Clock,
+}
+
+/// The process as the second address sees it, also while it starts.
+pub struct Operator {
+    names: Names,
+    serving: OnceCell<Serving>,
+}
+
+impl Operator {
+    /// A process that does not serve yet.
+    pub fn new(names: Names) -> Operator {
+        Operator { names, serving: OnceCell::new() }
+    }
+
+    /// From now on it serves. Said once.
+    pub fn serves(&self, parts: Serving) {
+        let _said_before = self.serving.set(parts);
+    }
+}
+
+impl Operated for Operator {
+    fn check(&self) -> Result<(), &'static str> {
+        match self.serving.get() {
+            None => Err("starting"),
+            Some(parts) if parts.intake.stopping.get() => Err("stopping"),
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn figures(&self) -> Figures {
+        let names = self.names.classes.iter().cloned();
+        let Some(parts) = self.serving.get() else {
+            let classes = names.map(|name| (name, Ends::default())).collect();
+            return Figures { classes, ..Figures::default() };
+        };
+        let engine = parts.engine.borrow();
+        let (known_hosts, skipped_hosts) = engine.hosts(parts.clock.now());
+        let ends = engine.tally().classes().iter();
+        let ends = ends.map(|e| Ends { passed: e.delivered, dropped: e.refused, failed: e.failed });
+        Figures {
+            classes: names.zip(ends).collect(),
+            tries: parts.carrier.tries(),
+            in_progress: engine.held().0,
+            known_hosts,
+            skipped_hosts,
+        }
+    }
+
+    fn drain(&self, on: bool) -> Result<(), &'static str> {
+        let parts = self.serving.get().ok_or("starting")?;
+        parts.clients.drain(on);
+        Ok(())
+    }
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,6 +1,7 @@
 //! The order in which the parts start, and signals.
 
 use crate::config::{self, Config};
+use crate::operate::{Operator, Serving};
 use mulleinslip_engine::Engine;
 use mulleinslip_http::{
     run_notices, CarrierSettings, Clients, Discovery, HttpCarrier, HttpFront, Intake, List, Ticket,
@@ -26,7 +27,8 @@
 const STOP: StopTimes = StopTimes { calls_end_ms: 3500.0, linger_ms: 600.0, exit_ms: 3600.0 };
 /// Descriptors for all that is not a connection of a client or to a host: standard streams 3, event loop and
 /// signals 5, listener and one more client than there are places 2, journal 2, discovery 2, notices 2, the
-/// configuration 1; the rest is room for what the runtime may need.
+/// configuration 1, the second address with its callers and one more 10; the rest is room for what the runtime
+/// may need.
 const OTHER_DESCRIPTORS: usize = 32;
 
 /// Serves as the environment says, until a signal. The error is one line.
@@ -67,6 +69,13 @@
     // Before anything that takes time: without a handler a signal ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let operator = Rc::new(Operator::new(config.names.clone()));
+    if let Some(address) = config.control {
+        let control = TcpListener::bind(address).await.map_err(|e| format!("control on {address}: {e}"))?;
+        let at = control.local_addr().map_err(|e| format!("control on {address}: {e}"))?;
+        log(&format!("{} control on {at}", config.name));
+        spawn_local(mulleinslip_control::serve(control, operator.clone()));
+    }
     let opened = open(&config).await;
     let (journal, left) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     left.notes.iter().for_each(|note| log(note));
@@ -110,7 +119,8 @@
             }
         }
     });
-    spawn_local(async move { carrier.sweep().await });
+    let sweeper = carrier.clone();
+    spawn_local(async move { sweeper.sweep().await });
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let listening = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
@@ -120,18 +130,25 @@
         engine: handle.clone(),
         clock,
         stopping: Cell::new(false),
+        away: Cell::default(),
     });
     let clients = Clients::new(intake.clone(), connections);
-    let (close_idle, close) = watch::channel(false);
     spawn_local(clients.clone().sweep());
-    spawn_local(clients.serve(listener, close));
+    spawn_local(clients.clone().serve(listener));
+    operator.serves(Serving {
+        clients: clients.clone(),
+        carrier,
+        engine: runtime.engine(),
+        intake: intake.clone(),
+        clock,
+    });
     spawn_local(async move {
         terminate.recv().await;
         log("SIGTERM; taking on nothing more");
         intake.stopping.set(true);
         let _stopped_already = handle.stop(STOP);
         tokio::time::sleep(KEEP_LISTENING).await;
-        let _no_clients = close_idle.send(true);
+        clients.close_idle();
     });
     eprintln!("mulleinslip: {} serves on {listening}", config.name);
     runtime.run().await;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::open::{Ledger, Open, Out};
 use crate::places::Places;
 use crate::store::Store;
+use crate::tally::Tally;
 use crate::timers::Timers;
 use bytes::Bytes;
 use linenhall::{Action, Discovery, Effect, Event, Outage, Outcome, Relay, Settings};
@@ -58,6 +59,7 @@
     names: Names,
     store: S,
     open: Ledger<R>,
+    tally: Tally,
     places: Places,
     /// For so long a destination without hosts may yet get one in time for what is taken on for it.
     replaced_within_ms: f64,
@@ -72,6 +74,7 @@
 impl<S: Store, R> Engine<S, R> {
     /// An engine that has taken on nothing. `seed` is for the module's random numbers.
     pub fn new(settings: Settings, seed: u64, names: Names, store: S) -> Engine<S, R> {
+        let tally = Tally::new(settings.classes.len());
         let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
         Engine {
             relay: Relay::new(settings.clone(), seed),
@@ -79,6 +82,7 @@
             names,
             store,
             open: Ledger::default(),
+            tally,
             places: Places::default(),
             replaced_within_ms: longest.clamp(0.0, 1e9),
             timers: Timers::default(),
@@ -112,6 +116,7 @@
         let class = place(&self.names.classes, &taken.class);
         let open = Open {
             call_id: taken.call_id,
+            class: class.unwrap_or(usize::MAX),
             idempotency_key: taken.idempotency_key.map(Bytes::from),
             body: taken.body.into(),
             destination: taken.dest,
@@ -127,7 +132,7 @@
         // Given up already: only the answer is still owed. So it is for a class that is no more.
         let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
         let (Some(class), None) = (class, verdict) else {
-            self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), out);
+            self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), false, out);
             return None;
         };
         Some(Event::Restored {
@@ -194,6 +199,16 @@
         (self.open.owed(), self.open.unconfirmed())
     }
 
+    /// How messages have ended since this process started.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Hosts in the list, and those of them to which nothing would be sent just now.
+    pub fn hosts(&self, now: f64) -> (usize, usize) {
+        self.relay.hosts(now)
+    }
+
     /// The first byte of an attempt is about to go out. On an error it must not, and the attempt ends as one that
     /// was never sent.
     pub fn begin(&mut self, now: f64, id: u64, attempt: u32, endpoint: &str) -> Result<(), Held> {
@@ -214,13 +229,15 @@
             return out.push(Output::Told(Told::Known { id, ticket }));
         }
         let Some(class) = self.settings.classes.get(message.class) else {
-            return out.push(Output::Told(Told::Turned { ticket, why: Turned::Failed }));
+            let why = Turned::Failed;
+            return out.push(Output::Told(Told::Turned { ticket, why }));
         };
         let keyed = class.effect == Effect::Keyed;
         let full = self.open.owed() >= self.settings.max_open || self.open.unconfirmed() >= MOST_UNCONFIRMED;
         // A destination in no list may be one that is not listed yet.
         if deciding || full || self.stopping || !self.places.knows(message.destination, now) {
             let why = Turned::Refused { again_ms: Some(COME_AGAIN_MS) };
+            self.tally.turned(message.class, &why);
             return out.push(Output::Told(Told::Turned { ticket, why }));
         }
         let id = self.open.number();
@@ -237,6 +254,7 @@
         };
         let open = Open {
             call_id,
+            class,
             idempotency_key: idempotency_key.filter(|_| keyed),
             body,
             destination,
@@ -276,6 +294,7 @@
                 r => Final::Over(r),
             };
             let call_id = open.call_id.clone();
+            self.tally.ended(open.class, &answer);
             self.open.over(id);
             // What is over needs no outcome: its end is recorded at once.
             self.close(id, out);
@@ -354,6 +373,9 @@
                 },
             };
             // Whatever else the module wants done for it is not done.
+            if let Some(open) = self.open.get(id) {
+                self.tally.turned(open.class, &why);
+            }
             self.open.remove(id);
             out.push(Output::Told(Told::Turned { ticket, why }));
         }
@@ -417,10 +439,11 @@
             let words = format!("journal: {e}; a restart would go on with a message that was given up");
             out.push(Output::Log(words));
         }
-        self.give_up(id, verdict, out);
+        self.give_up(id, verdict, true, out);
     }
 
-    fn give_up<T>(&mut self, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
+    /// `counts`: by this process, and not by an earlier one.
+    fn give_up<T>(&mut self, id: u64, verdict: Verdict, counts: bool, out: &mut Vec<Output<T, R>>) {
         self.open.over(id);
         self.open.set_unconfirmed(id, true);
         let Some(open) = self.open.get_mut(id) else { return };
@@ -429,6 +452,9 @@
             Verdict::Undeliverable => Final::Failed { may_have_run, last },
             Verdict::Deferred { again_ms } => Final::Refused { again_ms, may_have_run, last },
         };
+        if counts {
+            self.tally.ended(open.class, &answer);
+        }
         out.push(Output::Told(Told::Final { id, call_id: open.call_id.clone(), answer }));
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,9 +20,11 @@
 mod open;
 mod places;
 mod store;
+mod tally;
 mod timers;
 
 pub use engine::{Engine, Held, Names};
 pub use message::{Attempt, Ended, Final, Input, Message, Output, Told, Turned};
 pub use mulleinslip_journal as journal;
 pub use store::{Forgetful, Store};
+pub use tally::{Ends, Tally};
--- a/crates/engine/src/open.rs
+++ b/crates/engine/src/open.rs
@@ -13,6 +13,8 @@
 
 pub struct Open<R> {
     pub call_id: String,
+    /// Index of its class; beyond all where an earlier process knew it by another name.
+    pub class: usize,
     pub idempotency_key: Option<Bytes>,
     pub body: Bytes,
     pub destination: u64,
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -11,7 +11,7 @@
 use linenhall::{Discovery, Outcome};
 use mulleinslip_engine::{Attempt, Ended};
 use mulleinslip_runtime::{CallOff, Carrier, Gate};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,6 +72,7 @@
     state: RefCell<State>,
     s: CarrierSettings,
     idle: Duration,
+    tries: Rc<Cell<u64>>,
 }
 
 /// A connection counts as open for as long as this lives, also while it is being set up.
@@ -100,7 +101,12 @@
     pub fn new(s: CarrierSettings) -> HttpCarrier {
         let idle = Duration::from_secs_f64(s.conn_idle_ms.clamp(0.0, 1e9) / 1000.0);
         let idle = idle.saturating_sub(IDLE_MARGIN).max(idle / 2);
-        HttpCarrier { state: RefCell::default(), s, idle }
+        HttpCarrier { state: RefCell::default(), s, idle, tries: Rc::default() }
+    }
+
+    /// Messages that were written whole to hosts.
+    pub fn tries(&self) -> u64 {
+        self.tries.get()
     }
 
     /// Closes what has stood idle for too long. For good.
@@ -136,6 +142,9 @@
                 return Err(Held::NotNow);
             }
             *progress.borrow_mut() = Some(conn.progress());
+            if dest.is_some() {
+                conn.progress().count_in(self.tries.clone());
+            }
             let (head, body) = request();
             let built = head.header(HOST, address.to_string()).body(bytes(body));
             let Ok(built) = built else { return Err(Held::NotNow) };
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -2,7 +2,7 @@
 //! request says is intake.rs's job.
 
 use crate::guest::{Guest, Turn, MOST_HEAD};
-use crate::intake::Intake;
+use crate::intake::{Away, Intake};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,6 +23,14 @@
 /// How long one more connection waits for a place that was taken from another. Closing that one takes one turn
 /// of the event loop.
 const PLACE: Duration = Duration::from_millis(200);
+/// From health's no until answers close their connections: the front asks ten times a second, and sends nobody new
+/// 0.2 s after a no.
+const DRAIN_CLOSING: Duration = Duration::from_millis(300);
+/// And until connections are closed that stand idle. Those in use have got their closing answer by then, which
+/// crosses no request; only such a close may.
+const DRAIN_IDLE: Duration = Duration::from_millis(2300);
+/// And until those are left whose request does not come whole: 4 s after the call nobody may be here.
+const DRAIN_ALL: Duration = Duration::from_millis(3600);
 /// What is read at once.
 const READ: usize = 4096;
 
@@ -65,12 +73,58 @@
     /// asks once and stays takes one of them for 2 s from a client that has something to hand in.
     crowd: usize,
     crowded: Rc<Cell<bool>>,
+    /// Ends connections that stand idle.
+    close: watch::Sender<bool>,
+    /// Counts the calls to drain and to end that.
+    drains: Cell<u64>,
 }
 
 impl Clients {
     pub fn new(intake: Rc<Intake>, most: usize) -> Rc<Clients> {
-        let (guests, crowded) = (RefCell::default(), Rc::default());
-        Rc::new(Clients { intake, places: Arc::new(Semaphore::new(most)), guests, crowd: most / 2, crowded })
+        let (places, crowd) = (Arc::new(Semaphore::new(most)), most / 2);
+        let (guests, crowded, drains) = (RefCell::default(), Rc::default(), Cell::default());
+        Rc::new(Clients { intake, places, guests, crowd, crowded, close: watch::Sender::new(false), drains })
+    }
+
+    /// Ends connections that stand idle, now and later, until [`Clients::drain`] ends.
+    pub fn close_idle(&self) {
+        self.close.send_replace(true);
+    }
+
+    /// Sends clients elsewhere, or takes them again. First health says no; once the front has seen that, each answer
+    /// closes its connection, and later whoever is still here is left. Nothing that is handed in is turned away for it.
+    pub fn drain(self: &Rc<Self>, on: bool) {
+        let already = self.intake.away.get() > Away::No;
+        if on == already {
+            return;
+        }
+        self.drains.set(self.drains.get() + 1);
+        if !on {
+            self.intake.away.set(Away::No);
+            self.close.send_replace(false);
+            return;
+        }
+        self.intake.away.set(Away::Unwell);
+        let (this, drain, start) = (self.clone(), self.drains.get(), tokio::time::Instant::now());
+        tokio::task::spawn_local(async move {
+            let steps: [(Duration, fn(&Clients)); 3] = [
+                (DRAIN_CLOSING, |c| c.intake.away.set(Away::Closing)),
+                (DRAIN_IDLE, Clients::close_idle),
+                (DRAIN_ALL, Clients::dismiss_all),
+            ];
+            for (after, step) in steps {
+                tokio::time::sleep_until(start + after).await;
+                if this.drains.get() != drain {
+                    return;
+                }
+                step(&this);
+            }
+        });
+    }
+
+    fn dismiss_all(&self) {
+        let waits = |g: &&Rc<Guest>| g.turn.get() != Turn::Answering;
+        self.guests.borrow().values().filter(waits).for_each(|g| g.dismiss());
     }
 
     fn come(&self, number: u64) -> Rc<Guest> {
@@ -106,8 +160,8 @@
         longest.into_iter().for_each(|g| g.dismiss());
     }
 
-    /// Accepts connections for good. `close` ends those that stand idle.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, close: watch::Receiver<bool>) {
+    /// Accepts connections for good.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         for number in 0.. {
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -124,7 +178,7 @@
             let place = tokio::time::timeout(PLACE, self.places.clone().acquire_owned()).await;
             let Ok(Ok(place)) = place else { continue };
             let guest = self.come(number);
-            let (clients, close) = (self.clone(), close.clone());
+            let (clients, close) = (self.clone(), self.close.subscribe());
             tokio::task::spawn_local(async move {
                 clients.entertain(stream, guest, close).await;
                 clients.go(number);
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -38,6 +38,8 @@
     head_end: Cell<usize>,
     body_left: Cell<usize>,
     answer: RefCell<Heard>,
+    /// Counts requests that were written whole.
+    whole: RefCell<Option<Rc<Cell<u64>>>>,
 }
 
 impl Progress {
@@ -48,7 +50,21 @@
         *self.answer.borrow_mut() = Heard::default();
     }
 
+    /// The next request counts here once it is written whole.
+    pub fn count_in(&self, whole: Rc<Cell<u64>>) {
+        *self.whole.borrow_mut() = Some(whole);
+    }
+
     fn wrote(&self, bytes: &[u8]) {
+        self.written(bytes);
+        if self.complete() {
+            if let Some(whole) = self.whole.take() {
+                whole.set(whole.get() + 1);
+            }
+        }
+    }
+
+    fn written(&self, bytes: &[u8]) {
         self.any.set(self.any.get() || !bytes.is_empty());
         let mut rest = bytes;
         while self.head_end.get() < 4 {
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -30,6 +30,20 @@
     pub clock: Clock,
     /// After SIGTERM nothing new is taken on, and connections are not kept.
     pub stopping: Cell<bool>,
+    /// Whether clients are sent elsewhere, see [`crate::Clients::drain`].
+    pub away: Cell<Away>,
+}
+
+/// How far clients are sent elsewhere. What they hand in meanwhile is taken on as ever.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Away {
+    /// They are welcome.
+    #[default]
+    No,
+    /// Health says no, so that no new ones come.
+    Unwell,
+    /// And each answer closes its connection.
+    Closing,
 }
 
 type Reply = Response<Body>;
@@ -44,6 +58,7 @@
             match *request.method() {
                 // Nobody new should come here any more.
                 _ if self.stopping.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+                _ if self.away.get() > Away::No => plain(StatusCode::SERVICE_UNAVAILABLE, "drained\n"),
                 Method::GET | Method::HEAD => plain(StatusCode::OK, ""),
                 _ => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only\n"),
             }
@@ -58,7 +73,8 @@
         };
         guest.idle();
         // Whoever sends what can't be taken has to connect again to send more.
-        if self.stopping.get() || guest.ends() || reply.status().is_client_error() {
+        let away = self.stopping.get() || self.away.get() == Away::Closing;
+        if away || guest.ends() || reply.status().is_client_error() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,7 +21,7 @@
 pub use discovery::Discovery;
 pub use front::HttpFront;
 pub use handle::Handle;
-pub use intake::Intake;
+pub use intake::{Away, Intake};
 pub use list::{Entry, List, ListNames, Status};
 pub use notices::{run as run_notices, Notice};
 pub use outcomes::{retry_after_ms, Meaning};
--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -214,6 +214,19 @@
 }
 
 impl Fleet {
+    /// Endpoints in the list, and those of them that are avoided: they drain, are shunned for a while, or their
+    /// lane is out or was told to wait.
+    pub fn counts(&self, now: f64) -> (usize, usize) {
+        let listed = || self.hosts.walk().map(|x| x.1).filter(|h| h.listed != Listed::Gone);
+        let avoided = |h: &&Host| {
+            let lane = self.lanes.get(&h.lane);
+            h.listed == Listed::Leaving
+                || h.shun_until > now
+                || lane.is_some_and(|l| l.phase == Phase::Out || l.wait_until > now)
+        };
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// The endpoints of a destination, by name.
     pub fn hosts_of(&self, dest: u64) -> impl Iterator<Item = (&Name, &Host)> {
         let names = self.dests.get(&dest).into_iter().flat_map(|d| &d.hosts);
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -158,6 +158,10 @@
         self.arm(out);
     }
 
+    /// Endpoints in the list, and those of them that are avoided just now.
+    pub fn hosts(&self, now: f64) -> (usize, usize) {
+        self.f.counts(now)
+    }
     /// The outages that a later process of this relay should know of.
     pub fn outages(&self) -> Vec<Outage> {
         self.f.unwell.list()
--- a/crates/runtime/src/serve.rs
+++ b/crates/runtime/src/serve.rs
@@ -111,6 +111,11 @@
         Runtime { engine, carrier, front, clock, handle, queue, out, stopping, log }
     }
 
+    /// The engine, to be looked at between its rounds: on its own thread, and not across an `await`.
+    pub fn engine(&self) -> Rc<RefCell<Engine<S, C::Response>>> {
+        self.engine.clone()
+    }
+
     /// Goes on with what an earlier process left. Before [`Runtime::run`].
     pub fn restore(&mut self, lists: Vec<C::List>, left: Left) {
         let lists = lists.into_iter().map(|l| self.carrier.learn(l)).collect();
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -346,7 +346,7 @@
 
     fn command(&self, folder: &Path) -> Command {
         let mut command = Command::new(&*self.path);
-        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONTROL"] {
             command.env_remove(name);
         }
         command.env("ROUTER_CONFIG", folder.join("config.json")).env("ROUTER_STATE", folder.join("state"));
@@ -365,6 +365,16 @@
 
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
+/// Calls a second address and gives the whole answer.
+pub fn call(address: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
 /// The program itself.
 pub struct Relay {
     program: Program,
@@ -380,7 +390,7 @@
         json!({"Name": name, "Effect": effect, "Group": "all", "AimMs": 300.0, "DeadlineMs": 5000.0,
                "DedupWindowMs": 4000.0, "Points": 1.0, "LateValue": 0.3, "SerialByKey": order, "New": [1]})
     };
-    json!({"name": "t0", "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
+    json!({"name": "t0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
         "known": {"index": 0, "snapshot": true, "endpoints": []},
         "settings": {"Balancers": 1, "Zone": 0, "Zones": ["z"], "MachineTypes": ["k"], "TickMs": 5.0,
@@ -433,6 +443,26 @@
         Relay { program, child, address, folder, log, agent }
     }
 
+    /// The second address.
+    pub fn control(&self) -> SocketAddr {
+        until("the second address", || {
+            let lines = self.log.lock().unwrap();
+            lines.iter().find_map(|l| l.split(" control on ").nth(1)?.parse().ok())
+        })
+    }
+
+    /// Calls the second address and gives the whole answer.
+    pub fn call(&self, line: &str) -> String {
+        call(self.control(), line)
+    }
+
+    /// One figure; 0 if there is none by that name.
+    pub fn figure(&self, name: &str) -> u64 {
+        let vars = self.call("vars");
+        let value = vars.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')?.parse().ok());
+        value.unwrap_or(0)
+    }
+
     pub fn logged(&self, words: &str) -> bool {
         self.log.lock().unwrap().iter().any(|l| l.contains(words))
     }
