--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -19,6 +19,8 @@
 /// After a failed accept, which mostly means that descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(10);
 
+type Callers = VecDeque<(u64, oneshot::Sender<()>)>;
+
 /// Reads a line, or what comes before the end of what is sent. `None` if it is too long or does not come whole.
 async fn line(stream: &mut TcpStream) -> Option<Vec<u8>> {
     let mut read = Vec::new();
@@ -50,7 +52,7 @@
 /// Answers callers, for good. Runs on a [`tokio::task::LocalSet`].
 pub async fn serve<R: Operated + 'static>(listener: TcpListener, relay: Rc<R>) {
     // Those that are here, the first first, and what sends each away.
-    let here: Rc<RefCell<VecDeque<(u64, oneshot::Sender<()>)>>> = Rc::default();
+    let here: Rc<RefCell<Callers>> = Rc::default();
     for number in 0.. {
         let Ok((stream, _)) = listener.accept().await else {
             here.borrow_mut().pop_front();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod config;
 mod operate;
 mod serve;
+mod takeover;
 
 use std::process::ExitCode;
 
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -5,7 +5,7 @@
 use mulleinslip_http::{Clients, HttpCarrier, Intake};
 use mulleinslip_journal::Journal;
 use mulleinslip_runtime::Clock;
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 /// The parts that stand once the process serves.
@@ -21,24 +21,37 @@
 pub struct Operator {
     names: Names,
     serving: OnceCell<Serving>,
+    /// Another process goes on.
+    passed: Cell<bool>,
 }
 
 impl Operator {
     /// A process that does not serve yet.
     pub fn new(names: Names) -> Operator {
-        Operator { names, serving: OnceCell::new() }
+        Operator { names, serving: OnceCell::new(), passed: Cell::new(false) }
     }
 
     /// From now on it serves. Said once.
     pub fn serves(&self, parts: Serving) {
         let _said_before = self.serving.set(parts);
     }
+
+    /// Whether another process does.
+    pub fn has_passed(&self) -> bool {
+        self.passed.get()
+    }
+
+    /// From now on another process does.
+    pub fn passed(&self) {
+        self.passed.set(true);
+    }
 }
 
 impl Operated for Operator {
     fn check(&self) -> Result<(), &'static str> {
         match self.serving.get() {
             None => Err("starting"),
+            Some(_) if self.passed.get() => Err("another process goes on"),
             Some(parts) if parts.intake.stopping.get() => Err("stopping"),
             Some(_) => Ok(()),
         }
@@ -57,7 +70,7 @@
         Figures {
             classes: names.zip(ends).collect(),
             tries: parts.carrier.tries(),
-            in_progress: engine.held().0,
+            in_progress: if self.passed.get() { 0 } else { engine.held().0 },
             known_hosts,
             skipped_hosts,
         }
@@ -65,6 +78,9 @@
 
     fn drain(&self, on: bool) -> Result<(), &'static str> {
         let parts = self.serving.get().ok_or("starting")?;
+        if self.passed.get() {
+            return Err("another process goes on");
+        }
         parts.clients.drain(on);
         Ok(())
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -2,16 +2,18 @@
 
 use crate::config::{self, Config};
 use crate::operate::{Operator, Serving};
+use crate::takeover::{self, Stand, TakenOver};
 use mulleinslip_engine::Engine;
 use mulleinslip_http::{
     run_notices, CarrierSettings, Clients, Discovery, HttpCarrier, HttpFront, Intake, List, Ticket,
 };
-use mulleinslip_journal::{Journal, Left};
-use mulleinslip_runtime::{Clock, Runtime, StopTimes};
+use mulleinslip_journal::Journal;
+use mulleinslip_runtime::{Alive, Clock, Runtime, StopTimes};
 use std::cell::Cell;
-use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -19,8 +21,6 @@
 
 /// The first list is waited for this long; then the list in the configuration has to do.
 const FIRST_LIST: Duration = Duration::from_millis(400);
-/// How long the folder may still belong to another process.
-const FOLDER_FREE: Duration = Duration::from_secs(1);
 /// From SIGTERM until idle client connections are closed: until then new ones may come.
 const KEEP_LISTENING: Duration = Duration::from_millis(450);
 /// SIGKILL may come 3.7 s after SIGTERM; connections go on coming for up to 0.4 s.
@@ -51,19 +51,6 @@
     eprintln!("mulleinslip: {words}");
 }
 
-/// Opens the folder. The process before this one may have been told to go a moment ago.
-async fn open(config: &Config) -> std::io::Result<(Journal, Left)> {
-    let start = Instant::now();
-    loop {
-        match Journal::open(config.state.clone(), config.disk_bytes) {
-            Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < FOLDER_FREE => {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-            other => return other,
-        }
-    }
-}
-
 async fn serve(config: Config) -> Result<(), String> {
     let clock = Clock::start();
     // Before anything that takes time: without a handler a signal ends the process.
@@ -76,10 +63,6 @@
         log(&format!("{} control on {at}", config.name));
         spawn_local(mulleinslip_control::serve(control, operator.clone()));
     }
-    let opened = open(&config).await;
-    let (journal, left) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
-    left.notes.iter().for_each(|note| log(note));
-
     let connections = config.sockets.saturating_sub(OTHER_DESCRIPTORS).max(2) / 2;
     let carrier = Rc::new(HttpCarrier::new(CarrierSettings {
         most_open: connections,
@@ -92,16 +75,30 @@
     let (notices, notices_inbox) = mpsc::unbounded_channel();
     let queue = Runtime::<Journal, Ticket, HttpCarrier, HttpFront>::queue();
     let handle = queue.0.clone();
-    let engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
-    let mut runtime = Runtime::new(engine, carrier.clone(), HttpFront::new(notices), clock, queue, log);
-
-    // What discovery's agent has counts as told: a host that has left meanwhile must not be sent to.
+    // What discovery's agent has counts as told: a host that has left meanwhile must not be sent to. Asked before the
+    // folder is opened: a process that is taken over from stands still until that is over.
     let mut agent = Discovery::new(config.discovery);
     let first = tokio::time::timeout(FIRST_LIST, agent.ask(None)).await;
     let first = first.map_err(|_| "no answer in time".to_string()).and_then(|list| list);
     let first = first.inspect_err(|e| log(&format!("first list: {e}; starting from the known one")));
     let index = first.as_ref().ok().map(|list| list.index);
-    runtime.restore([Some(config.known), first.ok()].into_iter().flatten().collect(), left);
+
+    let opened = takeover::open(&config.state, config.disk_bytes).await;
+    let (journal, left, taken) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    left.notes.iter().for_each(|note| log(note));
+    let engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
+    let mut runtime = Runtime::new(engine, carrier.clone(), HttpFront::new(notices), clock, queue, log);
+
+    let offer = taken.as_ref().map(|t| t.offer.clone()).unwrap_or_default();
+    takeover::heed(&carrier, &offer.waits);
+    let now = clock.now();
+    let waits = offer.waits.into_iter().map(|(dest, host, ms)| (dest, host, now + ms)).collect();
+    let alive = Alive { out: offer.out.clone(), waits };
+    let (call_off, call_offs) = mpsc::unbounded_channel();
+    runtime.calls_off_elsewhere(move |id, attempt| {
+        let _gone = call_off.send((id, attempt));
+    });
+    runtime.restore([Some(config.known), first.ok()].into_iter().flatten().collect(), left, &alive);
 
     let (moved, place) = watch::channel(config.discovery);
     spawn_local(run_notices(place.clone(), notices_inbox, handle.clone()));
@@ -121,7 +118,8 @@
     });
     let sweeper = carrier.clone();
     spawn_local(async move { sweeper.sweep().await });
-    let listener = TcpListener::bind(config.listen).await;
+    let passed = taken.as_ref().and_then(|t| t.listener.as_ref()).map(|l| l.try_clone());
+    let listener = listen(config.listen, passed.transpose().unwrap_or_default()).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let listening = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let intake = Rc::new(Intake {
@@ -131,10 +129,31 @@
         clock,
         stopping: Cell::new(false),
         away: Cell::default(),
+        paused: watch::Sender::new(false),
     });
+    let door = listener.as_fd().try_clone_to_owned().map_err(|e| format!("the listener: {e}"))?;
     let clients = Clients::new(intake.clone(), connections);
     spawn_local(clients.clone().sweep());
     spawn_local(clients.clone().serve(listener));
+    if let Some(TakenOver { channel, .. }) = taken {
+        log("goes on for another process");
+        if offer.drained {
+            clients.drain(true);
+        }
+        let (clients, carrier, handle) = (clients.clone(), carrier.clone(), handle.clone());
+        spawn_local(takeover::follow(channel, offer.out, call_offs, clients, carrier, handle));
+    }
+    let stand = Stand {
+        folder: config.state,
+        listener: door,
+        intake: intake.clone(),
+        clients: clients.clone(),
+        carrier: carrier.clone(),
+        engine: runtime.engine(),
+        handle: handle.clone(),
+        operator: operator.clone(),
+    };
+    let passing = spawn_local(stand.wait());
     operator.serves(Serving {
         clients: clients.clone(),
         carrier,
@@ -142,9 +161,11 @@
         intake: intake.clone(),
         clock,
     });
+    let (go, mut told_to_go) = watch::channel(false);
     spawn_local(async move {
         terminate.recv().await;
         log("SIGTERM; taking on nothing more");
+        let _serving_yet = go.send(true);
         intake.stopping.set(true);
         let _stopped_already = handle.stop(STOP);
         tokio::time::sleep(KEEP_LISTENING).await;
@@ -152,5 +173,24 @@
     });
     eprintln!("mulleinslip: {} serves on {listening}", config.name);
     runtime.run().await;
+    if operator.has_passed() {
+        let _all_is_passed = passing.await;
+        tokio::select! {
+            () = takeover::linger() => {}
+            _ = told_to_go.changed() => {}
+        }
+    }
     Ok(())
 }
+
+/// Listens, on what an earlier process listened on if that is the address.
+async fn listen(at: SocketAddr, passed: Option<std::net::TcpListener>) -> std::io::Result<TcpListener> {
+    if let Some(listener) = passed {
+        let passed = listener.local_addr()?;
+        if passed == at || (at.port() == 0 && passed.ip() == at.ip()) {
+            listener.set_nonblocking(true)?;
+            return TcpListener::from_std(listener);
+        }
+    }
+    TcpListener::bind(at).await
+}
--- /dev/null
+++ b/crates/daemon/tests/takeover.rs
@@ -0,0 +1,298 @@
+//! One process takes over from another, under load and at the worst moments.
+use mulleinslip_takeover::channel::Channel;
+use mulleinslip_takeover::message::{ToNew, ToOld, VERSION};
+use mulleinslip_testkit::*;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const PROGRAM: Program = program!();
+
+fn request(id: &str, dest: u64, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST /safe HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Caller: acme\r\nX-Budget: 4000m\r\n\
+         Content-Length: {}\r\nX-Envelope: dest={dest}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+#[test]
+fn connections_go_on_in_the_new_process_at_whatever_byte_they_stand() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    let body: Vec<u8> = (0..=255).cycle().take(20_000).collect();
+    // Cut in the first line, in a header, between head and body, in the body, before the last byte; and idle ones,
+    // fresh and used.
+    let whole = request("x", 1, &body);
+    let head = whole.len() - body.len();
+    let cuts = [0, 1, 9, head / 2, head - 1, head, head + 1, head + 9_999, whole.len() - 1];
+    let mut clients: Vec<Client> = cuts.iter().map(|_| old.client()).collect();
+    for (n, (client, cut)) in clients.iter_mut().zip(cuts).enumerate() {
+        // Every other one has had an answer before.
+        if n % 2 == 1 {
+            assert_eq!(client.hand_in("safe", &format!("before{n}"), 1, 4000, b"").status(), 202);
+        }
+        client.send(&request(&format!("cut{n}"), 1, &body)[..cut]);
+    }
+    let taken = (0..cuts.len()).filter(|n| n % 2 == 1).count();
+    host.wait_calls(taken);
+    // Read by now: what the old process has of them is what the new one must be given.
+    std::thread::sleep(Duration::from_millis(50));
+    let new = old.beside();
+    assert_eq!(new.address, old.address);
+    assert!(old.wait_exit().success(), "the old process ends by itself");
+    for (n, (client, cut)) in clients.iter_mut().zip(cuts).enumerate() {
+        client.send(&request(&format!("cut{n}"), 1, &body)[cut..]);
+        assert_eq!(client.answer().expect("not closed").status(), 202, "cut at {cut}");
+        let again = client.hand_in("safe", &format!("after{n}"), 1, 4000, b"");
+        assert_eq!(again.status(), 202, "and it is kept");
+    }
+    let calls = host.wait_calls(taken + 2 * cuts.len());
+    assert!(calls.iter().filter(|c| c.id().starts_with("cut")).all(|c| c.body == body));
+    assert_eq!(new.call("check"), "+OK\n");
+}
+
+#[test]
+fn a_call_that_is_out_ends_in_the_old_process_and_counts_in_the_new_one() {
+    // One hangs for a while, one fails and may be repeated, one must not be.
+    let host = Host::new(|call, _| match call.id() {
+        "late" => Reply::Late(600),
+        "fails" | "unsafe" => Reply::Silent,
+        _ => Reply::Status(200),
+    });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    agent.hold(2);
+    let mut old = Relay::start(PROGRAM, &agent);
+    for (class, id, dest) in [("safe", "late", 1), ("unsafe", "unsafe", 1), ("ordered", "held", 2)] {
+        old.take(class, id, dest);
+    }
+    host.wait_calls(2);
+    let new = old.beside();
+    assert_eq!(old.call("check"), "-ERR another process goes on\n");
+    assert_eq!(new.figure("edge_router_in_progress"), 3, "all that is owed is the new process's");
+    assert_eq!(new.hand_in("safe", "late", 1).status(), 202, "known: nothing is handed in twice");
+    let passed = "edge_router_handled_total{category=\"safe\",outcome=\"passed\"}";
+    until("the end of the late one", || (new.figure(passed) == 1).then_some(()));
+    assert_eq!(new.figure("edge_router_in_progress"), 2);
+    // The old process dies with a call out: that may have run.
+    old.child.kill().unwrap();
+    assert_eq!(agent.wait_notice("unsafe")["status"], "undeliverable");
+    new.take("safe", "last", 1);
+    host.wait_calls(3);
+    assert_eq!((host.calls_of("late"), host.calls_of("unsafe")), (1, 1), "never a second attempt");
+    // What was held goes out once it can.
+    agent.list("b", 2, host.address, "active");
+    until("the held one", || (host.calls_of("held") == 1).then_some(()));
+}
+
+#[test]
+fn a_wait_told_to_the_old_process_binds_the_new_one() {
+    let host = Host::new(|call, _| match call.id() {
+        "told-before" => Reply::With(429, "Retry-After: 1.2\r\n"),
+        _ => Reply::Status(200),
+    });
+    let slow = Host::new(|call, _| match call.id() {
+        "told-after" => Reply::Late(300),
+        _ => Reply::Status(200),
+    });
+    let agent = Agent::new(&[("a", 1, &host), ("b", 2, &slow)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    old.take("safe", "told-after", 2);
+    old.take("safe", "told-before", 1);
+    let told = host.wait_calls(1)[0].at;
+    slow.wait_calls(1);
+    until("the wait", || (old.figure("edge_router_skipped_hosts") == 1).then_some(()));
+    let new = old.beside();
+    assert_eq!(new.figure("edge_router_skipped_hosts"), 1);
+    for n in 0..3 {
+        new.take("safe", &format!("m{n}"), 1);
+    }
+    let calls = host.wait_calls(4);
+    let soonest = calls[1..].iter().map(|c| c.at - told).min().unwrap();
+    assert!(soonest >= Duration::from_millis(1200), "the next call came after {soonest:?}");
+}
+
+#[test]
+fn a_drain_goes_on_in_the_new_process() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    assert_eq!(old.call("drain-on"), "+OK\n");
+    let new = old.beside();
+    let mut client = new.client();
+    client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.answer().unwrap().status(), 503);
+    assert!(old.call("drain-off").starts_with("-ERR "), "it is not the old one's any more");
+    assert_eq!(new.call("drain-off"), "+OK\n");
+}
+
+/// A scripted new process, on a runtime of its own.
+fn asks<T>(relay: &Relay, talk: impl AsyncFnOnce(Channel) -> T) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let state = relay.folder.join("state");
+    runtime.block_on(async { talk(Channel::connect(&state).unwrap()).await })
+}
+
+async fn until_ready(channel: &Channel) -> bool {
+    loop {
+        match channel.receive::<ToNew>().await.unwrap() {
+            Some((ToNew::Ready { .. }, listener)) => return listener.is_some(),
+            Some((ToNew::Out(_) | ToNew::Waits(_), None)) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_new_process_that_breaks_off_leaves_the_old_one_as_it_was() {
+    let host = Host::new(|call, _| if call.id() == "out" { Reply::Late(700) } else { Reply::Status(200) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(PROGRAM, &agent);
+    relay.take("unsafe", "out", 1);
+    host.wait_calls(1);
+    let mut client = relay.client();
+    assert_eq!(client.hand_in("safe", "before", 1, 4000, b"").status(), 202);
+    // Another version, noise, and nothing at all.
+    let ask = ToOld::Ask { version: VERSION + 1 };
+    let said = asks(&relay, async |c| {
+        c.send(&ask, None).await.unwrap();
+        c.receive::<ToNew>().await.unwrap()
+    });
+    assert!(matches!(said, Some((ToNew::No(_), None))), "{said:?}");
+    asks(&relay, async |c| c.send(&[255u8; 9], None).await.unwrap());
+    asks(&relay, async |_| {});
+    // Ready, and then it dies; or it holds the folder for a while, and then dies.
+    for (n, holds) in [(0, 0), (1, 150)] {
+        let folder = relay.folder.join("state");
+        asks(&relay, async |c| {
+            c.send(&ToOld::Ask { version: VERSION }, None).await.unwrap();
+            assert!(until_ready(&c).await, "with the listener");
+            let lock = std::fs::File::open(&folder).unwrap();
+            lock.try_lock().expect("the folder is free");
+            // What comes meanwhile waits.
+            client.send(&request(&format!("meanwhile{n}"), 1, b"body"));
+            drop(c);
+            std::thread::sleep(Duration::from_millis(holds));
+        });
+        assert_eq!(client.answer().expect("not closed").status(), 202);
+    }
+    let passed = "edge_router_handled_total{category=\"unsafe\",outcome=\"passed\"}";
+    until("the end of what was out", || (relay.figure(passed) == 1).then_some(()));
+    assert_eq!((host.calls_of("out"), host.calls_of("meanwhile0"), host.calls_of("meanwhile1")), (1, 1, 1));
+    // And all of it is in the folder.
+    agent.hold(2);
+    relay.take_once_listed("safe", "kept", 2);
+    let relay = relay.killed(|_| {});
+    agent.list("b", 2, host.address, "active");
+    until("the kept one", || (host.calls_of("kept") == 1).then_some(()));
+    assert_eq!(host.calls_of("out"), 1);
+    assert_eq!(relay.call("check"), "+OK\n");
+}
+
+/// Clients hand in over kept and new connections, in pieces, while processes take over from each other; some new ones
+/// are killed on the way. Nobody is turned away unheard, each message is answered 202 and delivered once.
+#[test]
+fn under_load_nothing_is_lost_doubled_or_turned_away() {
+    let host = Host::new(|_, n| if n % 7 == 3 { Reply::Late(60) } else { Reply::Status(200) });
+    let agent = Agent::new(&[("a", 1, &host), ("b", 1, &host)]);
+    let mut relay = Relay::start(PROGRAM, &agent);
+    let address = relay.address;
+    let over = Arc::new(AtomicBool::new(false));
+    let taken: Arc<Mutex<Vec<String>>> = Arc::default();
+    let clients = (0..6).map(|c| {
+        let (over, taken) = (over.clone(), taken.clone());
+        std::thread::spawn(move || {
+            let mut client: Option<Client> = None;
+            for n in 0.. {
+                if over.load(Ordering::SeqCst) {
+                    return n;
+                }
+                let id = format!("c{c}-{n}");
+                let mut used = client.take().unwrap_or_else(|| {
+                    Client(std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap()))
+                });
+                let bytes = request(&id, 1, &[7; 300]);
+                let cut = (n * 37 + c * 11) % bytes.len();
+                used.send(&bytes[..cut]);
+                std::thread::sleep(Duration::from_millis(2));
+                used.send(&bytes[cut..]);
+                let answer = used.answer().unwrap_or_else(|| panic!("{id} was turned away unheard"));
+                if answer.status() == 202 {
+                    taken.lock().unwrap().push(id);
+                } else {
+                    // The hold of 40 is full: come again.
+                    assert_eq!(answer.status(), 503);
+                }
+                // Half of them keep their connection.
+                client = Some(used).filter(|_| c % 2 == 0);
+            }
+            0
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let busy = || taken.lock().unwrap().len();
+    for round in 0..6 {
+        let before = busy();
+        until("traffic", || (busy() > before + 30).then_some(()));
+        if round % 3 == 2 {
+            // A new process that is killed at some instant of its start.
+            let mut command = std::process::Command::new(&*PROGRAM.path);
+            command.env("ROUTER_CONFIG", relay.folder.join("config.json"));
+            command.env("ROUTER_STATE", relay.folder.join("state")).stderr(std::process::Stdio::null());
+            let mut child = command.spawn().unwrap();
+            // Before it can have asked: the folder is asked for once the configuration is read.
+            child.kill().unwrap();
+            child.wait().unwrap();
+            continue;
+        }
+        let new = relay.beside();
+        let mut old = std::mem::replace(&mut relay, new);
+        until("the old one's end", || old.child.try_wait().unwrap());
+    }
+    over.store(true, Ordering::SeqCst);
+    let asked: usize = clients.into_iter().map(|c| c.join().expect("a client")).sum();
+    let taken = taken.lock().unwrap().clone();
+    assert!(taken.len() > 150 && taken.len() * 2 > asked, "{} of {asked} taken", taken.len());
+    until("all ends", || (relay.figure("edge_router_in_progress") == 0).then_some(()));
+    let mut calls: HashMap<String, usize> = HashMap::new();
+    host.heard().iter().for_each(|h| *calls.entry(h.id().to_string()).or_default() += 1);
+    for id in &taken {
+        assert_eq!(calls.get(id), Some(&1), "{id}: each is delivered, and once");
+    }
+    assert!(agent.all_notices().is_empty(), "none was given up: {:?}", agent.all_notices());
+}
+
+/// A client that comes while nobody accepts is in the queue of the listener that both processes share.
+#[test]
+fn clients_that_come_in_between_are_served() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    let (address, over) = (old.address, Arc::new(AtomicBool::new(false)));
+    let stop = over.clone();
+    let comes = std::thread::spawn(move || {
+        let mut count = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let mut stream = std::net::TcpStream::connect(address).expect("never refused");
+            stream.write_all(b"GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+            let mut said = String::new();
+            stream.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+            stream.read_to_string(&mut said).expect("never reset");
+            assert!(said.starts_with("HTTP/1.1 200"), "{said}");
+            count += 1;
+        }
+        count
+    });
+    let start = Instant::now();
+    for _ in 0..3 {
+        let new = old.beside();
+        let mut before = std::mem::replace(&mut old, new);
+        until("its end", || before.child.try_wait().unwrap());
+    }
+    over.store(true, Ordering::SeqCst);
+    assert!(comes.join().unwrap() > 20, "in {:?}", start.elapsed());
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use crate::tally::Tally;
 use crate::timers::Timers;
 use bytes::Bytes;
-use linenhall::{Action, Discovery, Effect, Event, Outage, Outcome, Relay, Settings};
-use mulleinslip_journal::{Kept, KeptOutage, Left, Taken, Verdict};
+use linenhall::{Action, Discovery, Effect, Endpoint, Event, Listed, Outage, Outcome, Relay, Settings};
+use mulleinslip_journal::{Attempt as KeptAttempt, Kept, KeptOutage, Left, Taken, Verdict};
 use std::collections::HashMap;
 use std::fmt;
 
@@ -32,6 +32,8 @@
 pub enum Held {
     /// Nobody waits for it any more.
     CalledOff,
+    /// Another process goes on with what was taken on, see [`Engine::release`].
+    Released,
     /// The store could not keep it, for this reason.
     NotKept(String),
 }
@@ -39,6 +41,7 @@
 impl fmt::Display for Held {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
+            Held::Released => f.write_str("left to another process"),
             Held::CalledOff => f.write_str("called off"),
             Held::NotKept(why) => write!(f, "journal: {why}; attempt not made"),
         }
@@ -69,6 +72,16 @@
     /// What the module has to hear of its last round's actions, in a round right after it.
     follow_up: Vec<Event>,
     stopping: bool,
+    released: bool,
+}
+
+/// What an earlier process that still runs tells of itself, beside what the store has.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Alive {
+    /// Attempts that it makes to their end: message and number. Each end comes as [`Input::Ended`].
+    pub out: Vec<(u64, u32)>,
+    /// Waits that it was told: destination, endpoint where endpoints are routes apart and else empty, until when.
+    pub waits: Vec<(u64, String, f64)>,
 }
 
 impl<S: Store, R> Engine<S, R> {
@@ -89,21 +102,72 @@
             outages: 0,
             follow_up: Vec::new(),
             stopping: false,
+            released: false,
         }
     }
 
+    /// Stops in the middle: no attempt begins any more, nothing is recorded, and the caller hands nothing in. Gives
+    /// the attempts that are out, message and number.
+    pub fn release(&mut self) -> Vec<(u64, u32)> {
+        self.released = true;
+        self.open.out()
+    }
+
+    /// Goes on after all, as if nothing had been.
+    pub fn resume(&mut self) {
+        self.released = false;
+    }
+
+    /// What keeps for it.
+    pub fn store_mut(&mut self) -> &mut S {
+        &mut self.store
+    }
+
     /// Tells the module what an earlier process left, together with the lists that are known: one round, and the
-    /// first.
-    pub fn restore<T>(&mut self, now: f64, lists: Vec<Discovery>, left: Left, out: &mut Vec<Output<T, R>>) {
+    /// first. `alive` is what that process tells if it still runs.
+    pub fn restore<T>(
+        &mut self, now: f64, lists: Vec<Discovery>, left: Left, alive: &Alive, out: &mut Vec<Output<T, R>>,
+    ) {
         let mut events = Vec::new();
         for list in lists {
             self.places.learn(&list, now, self.replaced_within_ms);
             events.push(Event::Discovery(list));
         }
         events.push(Event::Outages(left.outages.iter().map(recalled).collect()));
-        for kept in left.kept {
-            self.open.used(kept.id);
-            events.extend(self.restored(kept, out));
+        events.push(Event::Waits(alive.waits.clone()));
+        let mut going = Vec::new();
+        for mut kept in left.kept {
+            let id = kept.id;
+            self.open.used(id);
+            let is_out = |a: &KeptAttempt| alive.out.contains(&(id, a.number));
+            let out_yet = kept.attempts.iter().position(is_out).map(|at| kept.attempts.swap_remove(at));
+            let Some(mut event) = self.restored(kept, out) else { continue };
+            if let (Some(a), Event::Restored { attempts, .. }) = (out_yet, &mut event) {
+                // The number that the module gives to the attempt next.
+                *attempts = a.number;
+                going.push((id, a));
+            }
+            events.push(event);
+        }
+        // The module takes what was sent in the order of time.
+        going.sort_by(|a, b| a.1.at.total_cmp(&b.1.at));
+        let mut unlisted = Vec::new();
+        for (id, a) in going {
+            let Some(open) = self.open.get_mut(id) else { continue };
+            open.attempts = a.number.saturating_add(1);
+            open.out.push(Out { attempt: a.number, begun: true, called_off: false });
+            let destination = open.destination;
+            if !self.places.lists(&a.endpoint) {
+                // Gone from the list with a call out: it takes nothing new, and its call counts all the same.
+                let (name, weight) = (a.endpoint.clone(), 1.0);
+                let host = Endpoint { name, destination, zone: 0, kind: 0, weight, listed: Listed::Leaving };
+                events.push(Event::Discovery(Discovery::Changes(vec![host.clone()])));
+                unlisted.push(Endpoint { listed: Listed::Gone, ..host });
+            }
+            events.push(Event::Resumed { id, endpoint: a.endpoint, sent: a.at });
+        }
+        if !unlisted.is_empty() {
+            events.push(Event::Discovery(Discovery::Changes(unlisted)));
         }
         self.round(now, &events, Vec::new(), out);
     }
@@ -213,6 +277,9 @@
     /// was never sent.
     pub fn begin(&mut self, now: f64, id: u64, attempt: u32, endpoint: &str) -> Result<(), Held> {
         let out = self.open.get_mut(id).and_then(|o| o.out.iter_mut().find(|x| x.attempt == attempt));
+        if self.released {
+            return Err(Held::Released);
+        }
         let Some(out) = out.filter(|x| !x.called_off) else { return Err(Held::CalledOff) };
         self.store.begun(id, attempt, now, endpoint).map_err(|e| Held::NotKept(e.to_string()))?;
         out.begun = true;
--- a/crates/engine/src/open.rs
+++ b/crates/engine/src/open.rs
@@ -76,6 +76,15 @@
         self.open.get_mut(&id)
     }
 
+    /// Attempts that are out and have begun: message and number.
+    pub fn out(&self) -> Vec<(u64, u32)> {
+        let begun = |(id, open): (&u64, &Open<R>)| {
+            let begun = open.out.iter().filter(|x| x.begun).map(|x| x.attempt);
+            begun.map(|attempt| (*id, attempt)).collect::<Vec<_>>()
+        };
+        self.open.iter().flat_map(begun).collect()
+    }
+
     pub fn known(&self, call_id: &str) -> Option<u64> {
         self.by_call_id.get(call_id).copied()
     }
--- a/crates/engine/src/places.rs
+++ b/crates/engine/src/places.rs
@@ -47,6 +47,11 @@
         self.forget(now);
     }
 
+    /// Whether the list names this host.
+    pub fn lists(&self, host: &str) -> bool {
+        self.hosts.contains_key(host)
+    }
+
     fn join(&mut self, e: &Endpoint) -> Option<u64> {
         self.places.entry(e.destination).or_default().hosts += 1;
         self.hosts.insert(e.name.clone(), e.destination)
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -109,6 +109,39 @@
         self.tries.get()
     }
 
+    /// Waits that bind just now: destination, endpoint where endpoints are routes apart and else empty, and for how
+    /// much longer.
+    pub fn waits(&self) -> Vec<(u64, String, Duration)> {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let bind = state.waits.iter().filter(|w| *w.1 > now);
+        bind.map(|((dest, host), until)| (*dest, host.clone().unwrap_or_default(), *until - now)).collect()
+    }
+
+    /// Heeds waits that an earlier process was told, in the form of [`HttpCarrier::waits`].
+    pub fn heed(&self, waits: &[(u64, String, Duration)]) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        for (dest, host, left) in waits {
+            let lane = (*dest, Some(host.clone()).filter(|host| !host.is_empty()));
+            let wait = state.waits.entry(lane).or_insert(now);
+            *wait = (*wait).max(now + *left);
+        }
+    }
+
+    /// Heeds a wait that an earlier process was told by this host.
+    pub fn heed_host(&self, endpoint: &str, left: Duration) {
+        let lane = self.state.borrow().hosts.get(endpoint).map(|h| lane(endpoint, h));
+        if let Some((dest, host)) = lane {
+            self.heed(&[(dest, host.unwrap_or_default(), left)]);
+        }
+    }
+
+    /// Closes what stands idle.
+    pub fn close_all_idle(&self) {
+        self.state.borrow_mut().idle = Idle::default();
+    }
+
     /// Closes what has stood idle for too long. For good.
     pub async fn sweep(&self) {
         loop {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -17,6 +18,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Semaphore};
 
 const SWEEP: Duration = Duration::from_millis(50);
@@ -37,13 +39,36 @@
 /// A client's socket, as hyper reads and writes it.
 struct Watched {
     io: TcpStream,
+    /// What an earlier process had read of it and not answered, and how far that has been read anew.
+    before: (Vec<u8>, usize),
     guest: Rc<Guest>,
 }
 
+/// A client's connection on its way from one process to the next.
+#[derive(Debug)]
+pub struct Passed {
+    /// The connection.
+    pub stream: std::net::TcpStream,
+    /// What has come on it and is not answered.
+    pub unread: Vec<u8>,
+}
+
 impl Read for Watched {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
         let mut bytes = [MaybeUninit::uninit(); READ];
         let most = buf.remaining().min(READ);
+        let (before, at) = &mut self.before;
+        if *at < before.len() {
+            let more = before.get(*at..).unwrap_or_default();
+            let more = more.get(..most).unwrap_or(more).to_vec();
+            *at += more.len();
+            if *at == before.len() {
+                self.before = (Vec::new(), 0);
+            }
+            self.guest.saw(&more);
+            buf.put_slice(&more);
+            return Poll::Ready(Ok(()));
+        }
         let mut read = ReadBuf::uninit(&mut bytes[..most]);
         std::task::ready!(Pin::new(&mut self.io).poll_read(cx, &mut read))?;
         self.guest.saw(read.filled());
@@ -57,6 +82,8 @@
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        // Asked for when nothing is left to be written.
+        self.guest.flushed();
         Pin::new(&mut self.io).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -77,13 +104,17 @@
     close: watch::Sender<bool>,
     /// Counts the calls to drain and to end that.
     drains: Cell<u64>,
+    numbers: Cell<u64>,
+    /// Where connections go once another process goes on.
+    pass: watch::Sender<Option<UnboundedSender<Passed>>>,
 }
 
 impl Clients {
     pub fn new(intake: Rc<Intake>, most: usize) -> Rc<Clients> {
         let (places, crowd) = (Arc::new(Semaphore::new(most)), most / 2);
         let (guests, crowded, drains) = (RefCell::default(), Rc::default(), Cell::default());
-        Rc::new(Clients { intake, places, guests, crowd, crowded, close: watch::Sender::new(false), drains })
+        let (close, pass, numbers) = (watch::Sender::new(false), watch::Sender::new(None), Cell::default());
+        Rc::new(Clients { intake, places, guests, crowd, crowded, close, drains, numbers, pass })
     }
 
     /// Ends connections that stand idle, now and later, until [`Clients::drain`] ends.
@@ -107,17 +138,16 @@
         self.intake.away.set(Away::Unwell);
         let (this, drain, start) = (self.clone(), self.drains.get(), tokio::time::Instant::now());
         tokio::task::spawn_local(async move {
-            let steps: [(Duration, fn(&Clients)); 3] = [
-                (DRAIN_CLOSING, |c| c.intake.away.set(Away::Closing)),
-                (DRAIN_IDLE, Clients::close_idle),
-                (DRAIN_ALL, Clients::dismiss_all),
-            ];
-            for (after, step) in steps {
+            for after in [DRAIN_CLOSING, DRAIN_IDLE, DRAIN_ALL] {
                 tokio::time::sleep_until(start + after).await;
                 if this.drains.get() != drain {
                     return;
                 }
-                step(&this);
+                match after {
+                    DRAIN_CLOSING => this.intake.away.set(Away::Closing),
+                    DRAIN_IDLE => this.close_idle(),
+                    _ => this.dismiss_all(),
+                }
             }
         });
     }
@@ -160,53 +190,103 @@
         longest.into_iter().for_each(|g| g.dismiss());
     }
 
-    /// Accepts connections for good.
+    /// Another process goes on: all connections go there, each once no answer is due on it. The listener is left to
+    /// it, too.
+    pub fn pass(&self, to: UnboundedSender<Passed>) {
+        self.pass.send_replace(Some(to));
+    }
+
+    /// Connections that are here.
+    pub fn count(&self) -> usize {
+        self.guests.borrow().len()
+    }
+
+    /// Accepts connections until they are passed on.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        for number in 0.. {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+        let mut pass = self.pass.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                _ = pass.wait_for(Option::is_some) => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.admit(stream, Vec::new()).await,
                 Err(e) => {
                     eprintln!("mulleinslip: accept: {e}");
                     self.make_room();
                     tokio::time::sleep(Duration::from_millis(20)).await;
-                    continue;
                 }
-            };
-            if self.places.available_permits() == 0 {
-                self.make_room();
             }
-            let place = tokio::time::timeout(PLACE, self.places.clone().acquire_owned()).await;
-            let Ok(Ok(place)) = place else { continue };
-            let guest = self.come(number);
-            let (clients, close) = (self.clone(), self.close.subscribe());
-            tokio::task::spawn_local(async move {
-                clients.entertain(stream, guest, close).await;
-                clients.go(number);
-                drop(place);
-            });
         }
     }
 
-    async fn entertain(&self, io: TcpStream, guest: Rc<Guest>, mut close: watch::Receiver<bool>) {
+    /// Goes on with a connection that an earlier process had.
+    ///
+    /// # Errors
+    /// What making it a connection of this process gives.
+    pub async fn take_over(self: &Rc<Self>, passed: Passed) -> io::Result<()> {
+        passed.stream.set_nonblocking(true)?;
+        self.admit(TcpStream::from_std(passed.stream)?, passed.unread).await;
+        Ok(())
+    }
+
+    async fn admit(self: &Rc<Self>, stream: TcpStream, unread: Vec<u8>) {
+        if self.places.available_permits() == 0 {
+            self.make_room();
+        }
+        let place = tokio::time::timeout(PLACE, self.places.clone().acquire_owned()).await;
+        let Ok(Ok(place)) = place else { return };
+        let number = self.numbers.get();
+        self.numbers.set(number + 1);
+        let guest = self.come(number);
+        let clients = self.clone();
+        tokio::task::spawn_local(async move {
+            clients.entertain(stream, unread, guest).await;
+            clients.go(number);
+            drop(place);
+        });
+    }
+
+    async fn entertain(&self, io: TcpStream, unread: Vec<u8>, guest: Rc<Guest>) {
         let _slower_without = io.set_nodelay(true);
         let service = service_fn(|request| self.intake.request(request, &guest));
         let mut server = http1::Builder::new();
         server.max_buf_size(MOST_HEAD);
-        let watched = Watched { io, guest: guest.clone() };
-        let mut conn = std::pin::pin!(server.serve_connection(watched, service));
+        let watched = Watched { io, before: (unread, 0), guest: guest.clone() };
+        let mut conn = server.serve_connection(watched, service);
+        let (mut close, mut pass) = (self.close.subscribe(), self.pass.subscribe());
         // What comes after idle connections were closed may be a request that crossed the close, sent once
         // more: it is answered, not closed on.
         let late = *close.borrow();
         tokio::select! {
-            _client_gone = conn.as_mut() => return,
+            _client_gone = Pin::new(&mut conn) => return,
             () = guest.leave.notified() => return,
-            Ok(_) = close.wait_for(|close| *close), if !late => {}
+            Ok(_) = pass.wait_for(Option::is_some) => {}
+            Ok(_) = close.wait_for(|close| *close), if !late => {
+                // Ends it after the request that has been read, or at once if there is none.
+                Pin::new(&mut conn).graceful_shutdown();
+            }
         }
-        // Ends it after the request that has been read, or at once if there is none.
-        conn.as_mut().graceful_shutdown();
         tokio::select! {
-            _client_gone = conn.as_mut() => {}
-            () = guest.leave.notified() => {}
+            _client_gone = Pin::new(&mut conn) => return,
+            () = guest.leave.notified() => return,
+            Ok(_) = pass.wait_for(Option::is_some) => {}
+        }
+        // Once nothing is due on it, it goes to the other process as it stands.
+        let unread = poll_fn(|cx| match Pin::new(&mut conn).poll(cx) {
+            Poll::Ready(_client_gone) => Poll::Ready(None),
+            Poll::Pending => guest.hand_over().map_or(Poll::Pending, |unread| Poll::Ready(Some(unread))),
+        });
+        let unread = tokio::select! {
+            unread = unread => unread,
+            () = guest.leave.notified() => None,
+        };
+        let Some(unread) = unread else { return };
+        let Watched { io, before: (earlier, at), .. } = conn.into_parts().io;
+        let unread = [&unread[..], earlier.get(at..).unwrap_or_default()].concat();
+        if let (Ok(stream), Some(to)) = (io.into_std(), &*self.pass.borrow()) {
+            let _process_ends = to.send(Passed { stream, unread });
         }
     }
 }
--- a/crates/http/src/guest.rs
+++ b/crates/http/src/guest.rs
@@ -2,6 +2,7 @@
 //! settles silently.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -16,6 +17,45 @@
 /// As many header lines as hyper takes.
 const MOST_HEADERS: usize = 100;
 
+/// The longest request with its head; chunks may take more room than their body.
+const MOST_RAW: usize = MOST_HEAD + 96 * 1024;
+
+/// What has come on a connection and is not answered, as it came, so that another process can read it anew.
+#[derive(Default)]
+struct Raw {
+    bytes: Vec<u8>,
+    /// Lengths of the whole requests among them.
+    whole: VecDeque<usize>,
+    /// Bytes of the one that is coming.
+    coming: usize,
+    /// It had to be cut: nobody can read it anew.
+    cut: bool,
+}
+
+impl Raw {
+    fn came(&mut self, bytes: &[u8]) {
+        if self.cut || self.bytes.len() + bytes.len() > MOST_RAW {
+            *self = Raw { cut: true, ..Raw::default() };
+            return;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// So many more bytes belong to the request that is coming.
+    fn belong(&mut self, count: usize) {
+        self.coming += count;
+    }
+
+    fn request_is_whole(&mut self) {
+        self.whole.push_back(std::mem::take(&mut self.coming));
+    }
+
+    fn answered(&mut self) {
+        let first = self.whole.pop_front().unwrap_or(0).min(self.bytes.len());
+        self.bytes.drain(..first);
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Turn {
     /// No request is open.
@@ -39,6 +79,9 @@
     pub turn: Cell<Turn>,
     pub since: Cell<Instant>,
     framing: RefCell<Framing>,
+    raw: RefCell<Raw>,
+    /// An answer is on its way out.
+    answering: Cell<bool>,
     /// A head came whose length can be read in two ways: another request may hide in the body.
     ambiguous: Cell<bool>,
     pub told_to_leave: Cell<bool>,
@@ -53,6 +96,8 @@
             turn: Cell::new(Turn::Idle),
             since: Cell::new(Instant::now()),
             framing: RefCell::new(Framing::Head(Vec::new())),
+            raw: RefCell::default(),
+            answering: Cell::new(false),
             ambiguous: Cell::new(false),
             told_to_leave: Cell::new(false),
             leave: Notify::new(),
@@ -74,8 +119,24 @@
         self.turn(Turn::Answering);
     }
 
+    /// The request is answered; that has still to be written.
     pub fn idle(&self) {
         self.turn(Turn::Idle);
+        self.raw.borrow_mut().answered();
+        self.answering.set(true);
+    }
+
+    /// All that was to be written is.
+    pub fn flushed(&self) {
+        self.answering.set(false);
+    }
+
+    /// What another process has to read to go on with this connection. `None` if it must not: an answer is due or
+    /// on its way out, or what has come can't be read anew.
+    pub fn hand_over(&self) -> Option<Vec<u8>> {
+        let raw = self.raw.borrow();
+        let busy = self.turn.get() == Turn::Answering || self.answering.get();
+        (!busy && !raw.cut && !self.told_to_leave.get()).then(|| raw.bytes.clone())
     }
 
     /// When the request that is coming must be there.
@@ -111,6 +172,8 @@
     /// Looks at what was read, before hyper does.
     pub fn saw(&self, mut bytes: &[u8]) {
         let mut framing = self.framing.borrow_mut();
+        let mut raw = self.raw.borrow_mut();
+        raw.came(bytes);
         while !bytes.is_empty() {
             match &mut *framing {
                 Framing::Last => return,
@@ -118,7 +181,9 @@
                     let part = (bytes.len() as u64).min(*left);
                     *left -= part;
                     bytes = bytes.get(part as usize..).unwrap_or_default();
+                    raw.belong(part as usize);
                     if *left == 0 {
+                        raw.request_is_whole();
                         *framing = Framing::Head(Vec::new());
                     }
                 }
@@ -129,7 +194,10 @@
                     let had = head.len();
                     head.extend_from_slice(bytes);
                     let (next, length) = match framed(head) {
-                        Framed::Partial if head.len() < MOST_HEAD => return,
+                        Framed::Partial if head.len() < MOST_HEAD => {
+                            raw.belong(bytes.len());
+                            return;
+                        }
                         // hyper will turn it away; nothing after it is read.
                         Framed::Partial | Framed::Unreadable => (Framing::Last, head.len()),
                         Framed::Ambiguous => {
@@ -140,6 +208,10 @@
                         Framed::Whole(length, 0) => (Framing::Head(Vec::new()), length),
                         Framed::Whole(length, body) => (Framing::Body(body), length),
                     };
+                    raw.belong(length.saturating_sub(had));
+                    if matches!(next, Framing::Head(_)) {
+                        raw.request_is_whole();
+                    }
                     bytes = bytes.get(length.saturating_sub(had)..).unwrap_or_default();
                     *framing = next;
                 }
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -14,7 +14,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::time::{Duration, Instant};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 const MOST_BODY: usize = 64 * 1024;
 /// The longest id or key; those in use have 32 characters.
@@ -32,6 +32,8 @@
     pub stopping: Cell<bool>,
     /// Whether clients are sent elsewhere, see [`crate::Clients::drain`].
     pub away: Cell<Away>,
+    /// What is handed in waits as long as this says so: another process may be about to go on.
+    pub paused: watch::Sender<bool>,
 }
 
 /// How far clients are sent elsewhere. What they hand in meanwhile is taken on as ever.
@@ -65,6 +67,10 @@
         } else {
             match self.read(request, guest).await {
                 Ok(message) => {
+                    // Not answering yet: until it is handed in, the connection may go to the other process.
+                    if *self.paused.borrow() {
+                        let _never_gone = self.paused.subscribe().wait_for(|paused| !paused).await.is_ok();
+                    }
                     guest.answering();
                     self.hand_in(message).await
                 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -77,7 +77,9 @@
 pub struct Journal {
     path: PathBuf,
     /// Holds the folder's lock.
-    _lock: File,
+    lock: File,
+    /// Another process may have the folder: nothing may be written.
+    released: bool,
     file: File,
     size: u64,
     /// The frames of every message that is not over: what a new file would hold.
@@ -170,8 +172,17 @@
         let most = most.saturating_sub(2 * 512);
         let reserve = (most / 8).min(128 * 1024);
         let size = bytes.len() as u64;
-        let mut journal =
-            Journal { path, _lock: lock, file, size, live: BTreeMap::new(), live_bytes: 0, most, reserve };
+        let mut journal = Journal {
+            path,
+            lock,
+            released: false,
+            file,
+            size,
+            live: BTreeMap::new(),
+            live_bytes: 0,
+            most,
+            reserve,
+        };
         journal.replay(records, &mut left)?;
         // A new file leaves damage and a torn tail behind, so that what is appended can be read.
         if journal.live_bytes != journal.size {
@@ -180,6 +191,29 @@
         Ok((journal, left))
     }
 
+    /// Leaves the folder to another process. From now on nothing is written, and each call fails.
+    ///
+    /// # Errors
+    /// What unlocking gives; the folder is kept then.
+    pub fn release(&mut self) -> io::Result<()> {
+        self.lock.unlock()?;
+        self.released = true;
+        Ok(())
+    }
+
+    /// Takes the folder back, as if nobody had had it meanwhile: whoever did has acted on nothing that it read.
+    ///
+    /// # Errors
+    /// `WouldBlock` if another process has it; else what writing gives.
+    pub fn retake(&mut self) -> io::Result<()> {
+        self.lock.try_lock().map_err(|e| match e {
+            TryLockError::WouldBlock => io::Error::from(io::ErrorKind::WouldBlock),
+            TryLockError::Error(e) => e,
+        })?;
+        self.released = false;
+        self.compact()
+    }
+
     fn replay(&mut self, records: Vec<Record>, left: &mut Left) -> io::Result<()> {
         let mut kept: BTreeMap<u64, Kept> = BTreeMap::new();
         for record in records {
@@ -250,6 +284,9 @@
     /// Appends a frame if the folder then still has room for itself and `spare`, and for the new file that
     /// would replace the old one.
     fn append(&mut self, id: u64, record: &Record, spare: u64) -> io::Result<()> {
+        if self.released {
+            return Err(io::Error::other("the folder is left to another process"));
+        }
         let bytes = frame(record)?;
         let more = bytes.len() as u64;
         let fits = |j: &Journal| j.size + more + j.live_bytes + more + spare <= j.most;
--- a/crates/linenhall/src/interface.rs
+++ b/crates/linenhall/src/interface.rs
@@ -259,8 +259,20 @@
         /// An attempt may be running yet.
         uncertain: bool,
     },
+    /// The restored request's next attempt is out already: an earlier process makes it to its end, which comes as
+    /// [`Event::Ended`]. The endpoint is listed.
+    Resumed {
+        /// Its id.
+        id: u64,
+        /// Where to.
+        endpoint: String,
+        /// When it was sent.
+        sent: f64,
+    },
     /// Outages that an earlier process of this relay knew of.
     Outages(Vec<Outage>),
+    /// Waits that an earlier process was told and that bind on: destination, endpoint as in [`Outage`], until when.
+    Waits(Vec<(u64, String, f64)>),
     /// The process will end: nothing is to be begun that may be out at this time.
     Stopping {
         /// When.
--- a/crates/linenhall/src/lib.rs
+++ b/crates/linenhall/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logic;
 mod meter;
 mod state;
+mod view;
 
 pub use index::steps;
 pub use interface::*;
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -88,7 +88,7 @@
     seq: u64,
     msgs: Table<u64, Msg>,
     /// Destinations, endpoints and lanes.
-    f: Fleet,
+    pub(crate) f: Fleet,
     calls: Table<u64, Call>,
     keys: Keys,
     /// Marked since they were last looked at.
@@ -158,20 +158,6 @@
         self.arm(out);
     }
 
-    /// Endpoints in the list, and those of them that are avoided just now.
-    pub fn hosts(&self, now: f64) -> (usize, usize) {
-        self.f.counts(now)
-    }
-    /// The outages that a later process of this relay should know of.
-    pub fn outages(&self) -> Vec<Outage> {
-        self.f.unwell.list()
-    }
-
-    /// Grows whenever [`Relay::outages`] changes: who keeps them need not compare them.
-    pub fn outages_version(&self) -> u64 {
-        self.f.unwell.version()
-    }
-
     // ---- what changed
 
     fn touch(&mut self, dest: u64) {
@@ -259,7 +245,21 @@
             Event::Discovery(news) => self.discovery(news, out),
             Event::Request { .. } => self.take(event, out),
             Event::Restored { .. } => self.restore(event, out),
+            Event::Resumed { id, endpoint, sent } => {
+                let now = self.now;
+                self.now = sane(*sent, 0.0, now);
+                self.send(*id, &Name::from(endpoint.as_str()), &mut Vec::new());
+                self.now = now;
+            }
             Event::Outages(known) => known.iter().for_each(|o| self.recall(o)),
+            Event::Waits(known) => {
+                for (dest, endpoint, until) in known {
+                    let (now, id) = (self.now, (*dest, Name::from(endpoint.as_str())));
+                    self.touch_lane(&id);
+                    let l = self.f.lane(&id, || Lane::new(now));
+                    l.wait_until = l.wait_until.max(*until);
+                }
+            }
             Event::Stopping { at } => self.stop_at = Some(*at),
             Event::Started { id, .. } => {
                 self.msgs.get_mut(id).into_iter().for_each(|m| m.started = true);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,5 +7,6 @@
 mod serve;
 
 pub use clock::Clock;
+pub use mulleinslip_engine::Alive;
 pub use seams::{CallOff, Carrier, Front, Gate};
-pub use serve::{Handle, Queue, Runtime, StopTimes};
+pub use serve::{EndedHere, Handle, Queue, Runtime, StopTimes};
--- a/crates/runtime/src/serve.rs
+++ b/crates/runtime/src/serve.rs
@@ -4,9 +4,9 @@
 use crate::seams::{CallOff, Carrier, Front, Gate};
 use linenhall::Outcome;
 use mulleinslip_engine::journal::Left;
-use mulleinslip_engine::{Attempt, Ended, Engine, Held, Input, Message, Output, Store};
+use mulleinslip_engine::{Alive, Attempt, Ended, Engine, Held, Input, Message, Output, Store};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -22,6 +22,38 @@
     Input(Input<T, C::Response>),
     List(C::List),
     Stop(StopTimes),
+    CallOff(u64, u32),
+    Release(oneshot::Sender<Vec<(u64, u32)>>),
+    Retake,
+    Pass(UnboundedSender<EndedHere<C::Response>>),
+}
+
+/// An attempt of which another process has the message has ended here.
+#[derive(Debug)]
+pub struct EndedHere<R> {
+    /// The message.
+    pub id: u64,
+    /// The attempt.
+    pub attempt: u32,
+    /// Since it was asked for, in milliseconds.
+    pub took_ms: f64,
+    /// How.
+    pub end: Ended<R>,
+}
+
+/// Whether what was taken on is this process's matter.
+enum Tenure<R> {
+    Ours,
+    /// Another process has the folder and may yet give it back: what ends meanwhile waits, at most what was out.
+    Released {
+        out: HashSet<(u64, u32)>,
+        ended: Vec<EndedHere<R>>,
+    },
+    /// It has all but these attempts, whose ends it is told.
+    Passed {
+        out: HashSet<(u64, u32)>,
+        tell: UnboundedSender<EndedHere<R>>,
+    },
 }
 
 /// Where what happens goes in, from any thread. What waits in it is bounded by whoever hands in: each sender has
@@ -60,6 +92,36 @@
         self.put(Happened::Stop(times))
     }
 
+    /// An attempt has ended that an earlier process made, see [`mulleinslip_engine::Alive`].
+    pub fn ended(&self, ended: EndedHere<C::Response>) -> bool {
+        let EndedHere { id, attempt, took_ms, end } = ended;
+        self.put(Happened::Input(Input::Ended { id, attempt, took_ms, end }))
+    }
+
+    /// Nobody waits for this attempt any more, of which another process has the message.
+    pub fn call_off(&self, id: u64, attempt: u32) -> bool {
+        self.put(Happened::CallOff(id, attempt))
+    }
+
+    /// Stops in the middle, once all that was put in before has been dealt with, so that another process can go on.
+    /// Gives the attempts that are out, message and number. Then [`Handle::pass`] or [`Handle::retake`].
+    pub async fn release(&self) -> Option<Vec<(u64, u32)>> {
+        let (tell, told) = oneshot::channel();
+        self.put(Happened::Release(tell));
+        told.await.ok()
+    }
+
+    /// Goes on after all.
+    pub fn retake(&self) -> bool {
+        self.put(Happened::Retake)
+    }
+
+    /// Another process has gone on: it is told the ends of the attempts that are still out. With the last, this
+    /// process is done.
+    pub fn pass(&self, tell: UnboundedSender<EndedHere<C::Response>>) -> bool {
+        self.put(Happened::Pass(tell))
+    }
+
     fn put(&self, happened: Happened<T, C>) -> bool {
         self.0.send(happened).is_ok()
     }
@@ -91,6 +153,9 @@
     out: HashMap<(u64, u32), oneshot::Sender<()>>,
     /// Since when, and how long it may last.
     stopping: Option<(f64, StopTimes)>,
+    tenure: Tenure<C::Response>,
+    /// Calls attempts off that another process makes.
+    elsewhere: Option<Box<dyn Fn(u64, u32)>>,
     log: fn(&str),
 }
 
@@ -107,8 +172,13 @@
         (handle, queue): (Handle<T, C>, Queue<T, C>), log: fn(&str),
     ) -> Self {
         let engine = Rc::new(RefCell::new(engine));
-        let (out, stopping) = (HashMap::new(), None);
-        Runtime { engine, carrier, front, clock, handle, queue, out, stopping, log }
+        let (out, stopping, tenure, elsewhere) = (HashMap::new(), None, Tenure::Ours, None);
+        Runtime { engine, carrier, front, clock, handle, queue, out, stopping, tenure, elsewhere, log }
+    }
+
+    /// An earlier process makes attempts to their end: this calls one off, by message and number.
+    pub fn calls_off_elsewhere(&mut self, call_off: impl Fn(u64, u32) + 'static) {
+        self.elsewhere = Some(Box::new(call_off));
     }
 
     /// The engine, to be looked at between its rounds: on its own thread, and not across an `await`.
@@ -117,10 +187,10 @@
     }
 
     /// Goes on with what an earlier process left. Before [`Runtime::run`].
-    pub fn restore(&mut self, lists: Vec<C::List>, left: Left) {
+    pub fn restore(&mut self, lists: Vec<C::List>, left: Left, alive: &Alive) {
         let lists = lists.into_iter().map(|l| self.carrier.learn(l)).collect();
         let mut wanted = Vec::new();
-        self.engine.borrow_mut().restore(self.clock.now(), lists, left, &mut wanted);
+        self.engine.borrow_mut().restore(self.clock.now(), lists, left, alive, &mut wanted);
         self.act(wanted);
     }
 
@@ -134,6 +204,7 @@
             let due = self.engine.borrow().next_timer().map(|at| self.clock.instant(at));
             let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(1));
             let due = match self.stopping {
+                _ if !self.is_ours() => Instant::now() + STOP_LOOK,
                 Some(_) => due.min(Instant::now() + STOP_LOOK),
                 None => due,
             };
@@ -147,6 +218,11 @@
     }
 
     fn finished(&self) -> bool {
+        if let Tenure::Passed { out, tell } = &self.tenure {
+            if out.is_empty() || tell.is_closed() {
+                return true;
+            }
+        }
         let Some((since, times)) = self.stopping else { return false };
         let spent = self.clock.now() - since;
         (self.engine.borrow().is_idle() && spent >= times.linger_ms) || spent >= times.exit_ms
@@ -154,38 +230,119 @@
 
     fn take(&mut self, batch: Vec<Happened<T, C>>) {
         let mut inputs = Vec::with_capacity(batch.len());
-        for happened in batch {
-            inputs.push(match happened {
-                Happened::Input(Input::Handed(_, ticket)) if !self.front.waits(&ticket) => continue,
-                Happened::Input(input) => {
-                    match &input {
-                        Input::Ended { id, attempt, .. } => drop(self.out.remove(&(*id, *attempt))),
-                        Input::Withdrawn { id } => self.front.withdrawn(*id),
-                        _ => {}
-                    }
-                    input
+        let mut batch = batch.into_iter();
+        while let Some(happened) = batch.next() {
+            match happened {
+                Happened::Input(input) => self.sort(input, &mut inputs),
+                Happened::List(list) if self.is_ours() => {
+                    inputs.push(Input::Listed(self.carrier.learn(list)));
                 }
-                Happened::List(list) => Input::Listed(self.carrier.learn(list)),
+                Happened::List(_) => {}
                 Happened::Stop(times) => {
                     let now = self.clock.now();
                     self.stopping = Some((now, times));
-                    Input::Stop { calls_end_at: now + times.calls_end_ms }
+                    inputs.push(Input::Stop { calls_end_at: now + times.calls_end_ms });
+                }
+                Happened::CallOff(id, attempt) => self.call_off(id, attempt),
+                Happened::Release(told) => {
+                    // Whoever has handed in is answered here: what is in the queue goes first.
+                    self.round(std::mem::take(&mut inputs));
+                    let mut waiting: Vec<_> = batch.collect();
+                    while let Ok(more) = self.queue.0.try_recv() {
+                        waiting.push(more);
+                    }
+                    self.take(waiting);
+                    let out = self.engine.borrow_mut().release();
+                    self.tenure = Tenure::Released { out: out.iter().copied().collect(), ended: Vec::new() };
+                    let _nobody_asks = told.send(out);
+                    return;
                 }
-            });
+                Happened::Retake => {
+                    if let Tenure::Released { ended, .. } = std::mem::replace(&mut self.tenure, Tenure::Ours)
+                    {
+                        self.engine.borrow_mut().resume();
+                        inputs.extend(ended.into_iter().map(|e| {
+                            let EndedHere { id, attempt, took_ms, end } = e;
+                            Input::Ended { id, attempt, took_ms, end }
+                        }));
+                    }
+                }
+                Happened::Pass(tell) => {
+                    if let Tenure::Released { out, ended } = std::mem::replace(&mut self.tenure, Tenure::Ours)
+                    {
+                        self.tenure = Tenure::Passed { out, tell };
+                        ended.into_iter().for_each(|e| self.ended_here(e));
+                    }
+                }
+            }
+        }
+        self.round(inputs);
+    }
+
+    fn is_ours(&self) -> bool {
+        matches!(self.tenure, Tenure::Ours)
+    }
+
+    /// Who hears of an input: the engine, or whoever has the message.
+    fn sort(&mut self, input: Input<T, C::Response>, inputs: &mut Vec<Input<T, C::Response>>) {
+        match input {
+            Input::Handed(_, ticket) if !self.front.waits(&ticket) => {}
+            // Fronts hand nothing in any more, and what they have is told to the other process as well.
+            Input::Ended { id, attempt, took_ms, end } => {
+                self.out.remove(&(id, attempt));
+                if self.is_ours() {
+                    inputs.push(Input::Ended { id, attempt, took_ms, end });
+                } else {
+                    self.ended_here(EndedHere { id, attempt, took_ms, end });
+                }
+            }
+            _ if !self.is_ours() => {}
+            Input::Withdrawn { id } => {
+                self.front.withdrawn(id);
+                inputs.push(Input::Withdrawn { id });
+            }
+            input => inputs.push(input),
+        }
+    }
+
+    fn ended_here(&mut self, end: EndedHere<C::Response>) {
+        match &mut self.tenure {
+            Tenure::Ours => {}
+            Tenure::Released { ended, .. } => ended.push(end),
+            // One that had not begun was never out to whoever has its message.
+            Tenure::Passed { out, tell } => {
+                if out.remove(&(end.id, end.attempt)) {
+                    let _gone = tell.send(end);
+                }
+            }
+        }
+    }
+
+    fn round(&mut self, inputs: Vec<Input<T, C::Response>>) {
+        if !self.is_ours() {
+            return;
         }
         let mut wanted = Vec::new();
         self.engine.borrow_mut().handle(self.clock.now(), inputs, &mut wanted);
         self.act(wanted);
     }
 
+    fn call_off(&mut self, id: u64, attempt: u32) {
+        match (self.out.remove(&(id, attempt)), &self.elsewhere) {
+            (Some(off), _) => {
+                let _ended_already = off.send(());
+            }
+            (None, Some(elsewhere)) => elsewhere(id, attempt),
+            (None, None) => {}
+        }
+    }
+
     fn act(&mut self, wanted: Vec<Output<T, C::Response>>) {
         for output in wanted {
             match output {
                 Output::Told(told) => self.front.told(told),
                 Output::Attempt(attempt) => self.attempt(attempt),
-                Output::CallOff { id, attempt } => {
-                    let _ended_already = self.out.remove(&(id, attempt)).map(|off| off.send(()));
-                }
+                Output::CallOff { id, attempt } => self.call_off(id, attempt),
                 Output::Probe { endpoint } => self.probe(endpoint),
                 Output::CloseIdle { endpoint } => self.carrier.close_idle(&endpoint),
                 Output::Log(words) => (self.log)(&words),
--- /dev/null
+++ b/crates/takeover/src/message.rs
@@ -0,0 +1,92 @@
+//! What the two processes tell each other.
+
+use linenhall::Outcome;
+use serde::{Deserialize, Serialize};
+
+/// Of these frames and of what they mean. A process asks only one of its own version.
+pub const VERSION: u16 = 1;
+/// The longest frame: a client's request that is not answered, or [`ROWS`] rows. A socket's buffer holds more.
+pub const MOST_FRAME: usize = 160 * 1024;
+/// Rows in one frame at most; a wait takes some 40 bytes and a name.
+pub const ROWS: usize = 256;
+
+/// From the new process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToOld {
+    /// It would go on, and has all else that it needs.
+    Ask {
+        /// [`VERSION`].
+        version: u16,
+    },
+    /// It has the folder and has read it.
+    Taken,
+    /// Nobody waits for this attempt any more.
+    CallOff {
+        /// The message.
+        id: u64,
+        /// The attempt.
+        attempt: u32,
+    },
+}
+
+/// From the old process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToNew {
+    /// It can't be asked: another version, or it is ending already.
+    No(String),
+    /// Attempts that are out: message and number.
+    Out(Vec<(u64, u32)>),
+    /// Waits: destination, endpoint or nothing, and for how many milliseconds more.
+    Waits(Vec<(u64, String, f64)>),
+    /// That was all, and the folder is free. With the listener.
+    Ready {
+        /// Clients are being sent elsewhere.
+        drained: bool,
+    },
+    /// It is the new process's now.
+    Go,
+    /// A client's connection, with this of it not answered. With the connection.
+    Client {
+        /// As it came.
+        unread: Vec<u8>,
+    },
+    /// An attempt that was out has ended.
+    Ended(Ended),
+}
+
+/// How an attempt ended that the old process made.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The message.
+    pub id: u64,
+    /// The attempt.
+    pub attempt: u32,
+    /// Since it was asked for, in milliseconds.
+    pub took_ms: f64,
+    /// What it came to.
+    #[serde(with = "Came")]
+    pub outcome: Outcome,
+    /// The message is over.
+    pub settled: bool,
+    /// Whether something came back.
+    pub answered: bool,
+    /// A wait that was told, in milliseconds; [`ToNew::Waits`] has gone ahead of it.
+    pub wait_ms: f64,
+    /// A load report, empty if there is none.
+    pub report: Vec<f64>,
+}
+
+/// [`Outcome`], as it stands in a frame.
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "Outcome")]
+enum Came {
+    Delivered,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Stale,
+    Cancelled,
+    NotSent,
+}
--- /dev/null
+++ b/crates/takeover/src/protocol.rs
@@ -0,0 +1,203 @@
+//! Who may do what when. No I/O and no time: what happens goes in, what is to be done comes out.
+
+use crate::message::{ToNew, ToOld, VERSION};
+
+/// What happens to the old process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OldEvent {
+    /// A frame came.
+    Heard(ToOld),
+    /// It has stopped in the middle and left the folder.
+    Released,
+    /// The new process is gone, or says nothing that can be read, or takes too long.
+    Lost,
+}
+
+/// What the old process is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OldStep {
+    /// Nothing.
+    Wait,
+    /// Stop in the middle and leave the folder; then [`OldEvent::Released`].
+    Release,
+    /// Tell what the new process needs, up to [`ToNew::Ready`].
+    Tell,
+    /// Say [`ToNew::Go`], and pass on what is here. Never write again.
+    Pass,
+    /// Call this attempt off.
+    CallOff(u64, u32),
+    /// Say [`ToNew::No`] for this reason; go on as ever.
+    Refuse(&'static str),
+    /// Take the folder back and go on as ever.
+    Retake,
+    /// Nobody is told anything any more: end.
+    End,
+}
+
+/// The old process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Old {
+    /// It serves.
+    #[default]
+    Serves,
+    /// It stops in the middle.
+    Stops,
+    /// It has left the folder to a new process that has not said that it has it.
+    Offers,
+    /// The new process goes on.
+    Passed,
+}
+
+impl Old {
+    /// Takes in what happens.
+    pub fn on(&mut self, event: OldEvent) -> OldStep {
+        let (next, step) = match (*self, event) {
+            (Old::Serves, OldEvent::Heard(ToOld::Ask { version: VERSION })) => (Old::Stops, OldStep::Release),
+            (Old::Serves, OldEvent::Heard(ToOld::Ask { .. })) => {
+                (Old::Serves, OldStep::Refuse("another version"))
+            }
+            (Old::Serves, OldEvent::Heard(_)) => (Old::Serves, OldStep::Refuse("not asked")),
+            (Old::Stops, OldEvent::Released) => (Old::Offers, OldStep::Tell),
+            (Old::Offers, OldEvent::Heard(ToOld::Taken)) => (Old::Passed, OldStep::Pass),
+            // Whoever says anything else doesn't keep to the protocol.
+            (Old::Stops | Old::Offers, _) => (Old::Serves, OldStep::Retake),
+            (Old::Passed, OldEvent::Heard(ToOld::CallOff { id, attempt })) => {
+                (Old::Passed, OldStep::CallOff(id, attempt))
+            }
+            (Old::Passed, OldEvent::Lost) => (Old::Passed, OldStep::End),
+            (state, _) => (state, OldStep::Wait),
+        };
+        *self = next;
+        step
+    }
+
+    /// Whether it may write to the folder.
+    pub fn may_write(self) -> bool {
+        self == Old::Serves
+    }
+}
+
+/// What the old process has told the new one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Offer {
+    /// Attempts that are out: message and number.
+    pub out: Vec<(u64, u32)>,
+    /// Waits, see [`ToNew::Waits`].
+    pub waits: Vec<(u64, String, f64)>,
+    /// Clients are being sent elsewhere.
+    pub drained: bool,
+}
+
+/// What the new process is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NewStep {
+    /// Nothing.
+    Wait,
+    /// Open the folder, read it, say [`ToOld::Taken`]. Act on nothing yet.
+    Open,
+    /// Serve.
+    Serve(Offer),
+    /// Leave the folder as it is; perhaps ask again.
+    GiveUp(String),
+}
+
+/// The new process, from its question on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct New {
+    offer: Offer,
+    ready: bool,
+}
+
+impl New {
+    /// Takes in a frame, or that the old process is gone.
+    pub fn on(&mut self, heard: Option<ToNew>) -> NewStep {
+        match heard {
+            Some(ToNew::Out(rows)) if !self.ready => {
+                self.offer.out.extend(rows);
+                NewStep::Wait
+            }
+            Some(ToNew::Waits(rows)) if !self.ready => {
+                self.offer.waits.extend(rows);
+                NewStep::Wait
+            }
+            Some(ToNew::Ready { drained }) if !self.ready => {
+                (self.ready, self.offer.drained) = (true, drained);
+                NewStep::Open
+            }
+            Some(ToNew::Go) if self.ready => NewStep::Serve(std::mem::take(&mut self.offer)),
+            Some(ToNew::No(why)) => NewStep::GiveUp(why),
+            Some(_) => NewStep::GiveUp("it doesn't keep to the protocol".into()),
+            None => NewStep::GiveUp("it is gone".into()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ask() -> OldEvent {
+        OldEvent::Heard(ToOld::Ask { version: VERSION })
+    }
+
+    #[test]
+    fn the_way_of_a_takeover() {
+        let mut old = Old::default();
+        assert_eq!(old.on(ask()), OldStep::Release);
+        assert_eq!(old.on(OldEvent::Released), OldStep::Tell);
+        assert_eq!(old.on(OldEvent::Heard(ToOld::Taken)), OldStep::Pass);
+        let call_off = OldEvent::Heard(ToOld::CallOff { id: 7, attempt: 1 });
+        assert_eq!(old.on(call_off), OldStep::CallOff(7, 1));
+        assert_eq!(old.on(OldEvent::Lost), OldStep::End);
+
+        let mut new = New::default();
+        assert_eq!(new.on(Some(ToNew::Out(vec![(1, 0)]))), NewStep::Wait);
+        assert_eq!(new.on(Some(ToNew::Out(vec![(2, 3)]))), NewStep::Wait);
+        assert_eq!(new.on(Some(ToNew::Waits(vec![(5, String::new(), 9.0)]))), NewStep::Wait);
+        assert_eq!(new.on(Some(ToNew::Ready { drained: true })), NewStep::Open);
+        let offer = Offer { out: vec![(1, 0), (2, 3)], waits: vec![(5, String::new(), 9.0)], drained: true };
+        assert_eq!(new.on(Some(ToNew::Go)), NewStep::Serve(offer));
+    }
+
+    /// All sequences of five events: the old process writes only while the new one may not act, and the new one acts
+    /// only once the old one will never write again.
+    #[test]
+    fn never_do_both_have_the_folder() {
+        let events = [
+            ask(),
+            OldEvent::Heard(ToOld::Ask { version: VERSION + 1 }),
+            OldEvent::Heard(ToOld::Taken),
+            OldEvent::Heard(ToOld::CallOff { id: 1, attempt: 0 }),
+            OldEvent::Released,
+            OldEvent::Lost,
+        ];
+        let mut passes = 0;
+        for number in 0..events.len().pow(5) {
+            let (mut old, mut passed, mut rest) = (Old::default(), false, number);
+            for _ in 0..5 {
+                let step = old.on(events[rest % events.len()].clone());
+                rest /= events.len();
+                passes += usize::from(step == OldStep::Pass);
+                passed |= step == OldStep::Pass;
+                let ours = matches!(step, OldStep::Retake | OldStep::Refuse(_));
+                assert!(!(passed && (old.may_write() || ours)), "{number}: written after Go");
+                assert!(!(ours && !old.may_write()), "{number}: taken back and not served");
+                assert!(passed || !matches!(step, OldStep::End | OldStep::CallOff(..)), "{number}: {step:?}");
+            }
+        }
+        assert!(passes > 0);
+    }
+
+    #[test]
+    fn a_new_process_acts_on_nothing_before_it_may() {
+        for early in [ToNew::Go, ToNew::Client { unread: vec![] }, ToNew::No("x".into())] {
+            assert!(matches!(New::default().on(Some(early)), NewStep::GiveUp(_)));
+        }
+        let mut new = New::default();
+        assert_eq!(new.on(Some(ToNew::Ready { drained: false })), NewStep::Open);
+        // Twice ready, or gone before the word: nothing has been done.
+        assert!(matches!(new.clone().on(Some(ToNew::Ready { drained: false })), NewStep::GiveUp(_)));
+        assert!(matches!(new.clone().on(Some(ToNew::Out(vec![]))), NewStep::GiveUp(_)));
+        assert!(matches!(new.on(None), NewStep::GiveUp(_)));
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -480,6 +480,12 @@
         Relay::run(self.program.clone(), command, std::mem::take(&mut self.folder), self.agent)
     }
 
+    /// Another process with the same configuration and folder, which takes over from this one.
+    pub fn beside(&mut self) -> Relay {
+        let command = self.program.command(&self.folder);
+        Relay::run(self.program.clone(), command, std::mem::take(&mut self.folder), self.agent)
+    }
+
     pub fn log_lines(&self, words: &str) -> usize {
         self.log.lock().unwrap().iter().filter(|l| l.contains(words)).count()
     }
--- a/crates/tower/src/builder.rs
+++ b/crates/tower/src/builder.rs
@@ -13,7 +13,7 @@
 use mulleinslip_engine::journal::{Journal, Left};
 use mulleinslip_engine::{Engine, Forgetful, Message, Names, Store};
 use mulleinslip_http::{Discovery, List, ListNames};
-use mulleinslip_runtime::{Clock, Handle, Runtime, StopTimes};
+use mulleinslip_runtime::{Alive, Clock, Handle, Runtime, StopTimes};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -236,7 +236,7 @@
             let _starter_gone = started.send(Ok(()));
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, async move {
-                relay.restore(vec![News::Whole(hosts)], left);
+                relay.restore(vec![News::Whole(hosts)], left, &Alive::default());
                 if let Some((agent, names)) = discovery {
                     let (_stays, place) = watch::channel(agent);
                     let told = move |list: List| news.list(News::of(&list, &names));
