A call beyond its latency is called off also where its lane delivers

A call of a lane that had delivered since it was sent was left three times its time, unless five later ones had passed it. Change: the call whose time is up first is called off, whatever its lane delivered, if no slot is free and a queue would use it; the structure that counted who passed whom is gone.

--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -2,7 +2,7 @@
 //! and decided on in `logic`.
 
 use crate::index::group::Group;
-use crate::index::lane_calls::{LaneCalls, Passers};
+use crate::index::lane_calls::LaneCalls;
 use crate::index::table::Table;
 use crate::interface::{Endpoint, Listed, Outage};
 use crate::meter::Meter;
@@ -98,15 +98,10 @@
     pub shun_until: f64,
     pub conns: usize,
     pub used_at: f64,
-    /// The latest of its calls that were delivered.
-    pub passers: Passers<{ PASSED }>,
     /// The whole list that named it last.
     pub named: u64,
 }
 
-/// So many later calls to the same endpoint that are answered: this one is not.
-pub const PASSED: usize = 5;
-
 impl Host {
     pub fn new(lane: LaneId) -> Host {
         Host {
@@ -120,7 +115,6 @@
             shun_until: 0.0,
             conns: 0,
             used_at: 0.0,
-            passers: Passers::default(),
             named: 0,
         }
     }
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -737,9 +737,6 @@
             }
         }
         self.report(&lane, report);
-        if o == Outcome::Delivered && first {
-            self.f.hosts.get_mut(&host).into_iter().for_each(|h| h.passers.add(sent));
-        }
         if first {
             // What was called off here for its lateness says of the lane what a time-out would have said.
             let silent = self.f.lanes.get(&lane).is_some_and(|l| l.good_at < sent);
@@ -1208,13 +1205,10 @@
 
     /// When the first of a lane's calls is given no more time, and which.
     fn overdue_at(&self, l: &Lane) -> Option<(f64, u64)> {
-        let ends = l.calls.oldest().chain(l.calls.after(l.good_at, 1)).map(|(kind, sent, call)| {
-            // A lane that delivered since is slow rather than gone, and its calls get more time, but for one
-            // that several later ones have passed: its answer is lost.
-            let passed = self.f.hosts.get(&kind.host).is_some_and(|h| sent < h.passers.all_after());
-            let alive = if l.good_at < sent || passed { 1.0 } else { 3.0 };
+        // Also of a lane that delivers: where connections fall silent, its lost calls would fill the slots.
+        let ends = l.calls.oldest().map(|(kind, sent, call)| {
             let patience = if kind.fragile { 3.0 } else { 1.0 };
-            (sent + patience * alive * l.overrun(kind.aim.get()), call)
+            (sent + patience * l.overrun(kind.aim.get()), call)
         });
         ends.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
     }
