--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -58,24 +58,30 @@
 
 #[test]
 fn a_call_that_is_out_ends_in_the_old_process_and_counts_in_the_new_one() {
-    // One hangs for a while, one fails and may be repeated, one must not be.
-    let host = Host::new(|call, _| match call.id() {
-        "late" => Reply::Late(600),
-        "fails" | "unsafe" => Reply::Silent,
+    // One is answered once the new process has been looked at, one never. Unsafe ones have no time-out.
+    let looked = Arc::new(AtomicBool::new(false));
+    let gate = looked.clone();
+    let host = Host::new(move |call, _| match call.id() {
+        "late" => {
+            until("a look", || gate.load(Ordering::SeqCst).then_some(()));
+            Reply::Status(200)
+        }
+        "unsafe" => Reply::Silent,
         _ => Reply::Status(200),
     });
     let agent = Agent::new(&[("a", 1, &host)]);
     agent.hold(2);
     let mut old = Relay::start(PROGRAM, &agent);
-    for (class, id, dest) in [("safe", "late", 1), ("unsafe", "unsafe", 1), ("ordered", "held", 2)] {
+    for (class, id, dest) in [("unsafe", "late", 1), ("unsafe", "unsafe", 1), ("ordered", "held", 2)] {
         old.take(class, id, dest);
     }
     host.wait_calls(2);
     let new = old.beside();
     assert_eq!(old.call("check"), "-ERR another process goes on\n");
     assert_eq!(new.figure("edge_router_in_progress"), 3, "all that is owed is the new process's");
-    assert_eq!(new.hand_in("safe", "late", 1).status(), 202, "known: nothing is handed in twice");
-    let passed = "edge_router_handled_total{category=\"safe\",outcome=\"passed\"}";
+    assert_eq!(new.hand_in("unsafe", "late", 1).status(), 202, "known: nothing is handed in twice");
+    looked.store(true, Ordering::SeqCst);
+    let passed = "edge_router_handled_total{category=\"unsafe\",outcome=\"passed\"}";
     until("the end of the late one", || (new.figure(passed) == 1).then_some(()));
     assert_eq!(new.figure("edge_router_in_progress"), 2);
     // The old process dies with a call out: that may have run.
@@ -193,6 +199,41 @@
     assert_eq!(relay.call("check"), "+OK\n");
 }
 
+/// What discovery tells, and a notice that is confirmed, while a new process has the folder that then dies.
+#[test]
+fn what_happens_while_the_folder_is_away_counts_once_it_is_back() {
+    let host = Host::new(|call, _| match call.id() {
+        "fails" => Reply::Late(400),
+        _ => Reply::Status(200),
+    });
+    let (next, agent) = (Host::ok(), Agent::new(&[("old", 1, &host)]));
+    let relay = Relay::start(PROGRAM, &agent);
+    relay.take("unsafe", "fails", 1);
+    host.wait_calls(1);
+    until("a watch", || (agent.watches() > 0).then_some(()));
+    let folder = relay.folder.join("state");
+    asks(&relay, async |c| {
+        c.send(&ToOld::Ask { version: VERSION }, None).await.unwrap();
+        assert!(until_ready(&c).await);
+        let lock = std::fs::File::open(&folder).unwrap();
+        lock.try_lock().expect("the folder is free");
+        let watched = agent.watches();
+        agent.list("new", 1, next.address, "active");
+        agent.list("old", 1, host.address, "leaving");
+        // The old process has heard of it: it asks for what comes after.
+        until("the next watch", || (agent.watches() > watched).then_some(()));
+        // And of the second change, should they have come apart.
+        std::thread::sleep(Duration::from_millis(50));
+        drop(c);
+    });
+    for n in 0..6 {
+        relay.take("safe", &format!("m{n}"), 1);
+    }
+    next.wait_calls(6);
+    assert_eq!(host.heard().len(), 1, "a host that drains gets nothing new");
+    until("all ends", || (relay.figure("edge_router_in_progress") == 0).then_some(()));
+}
+
 /// Clients hand in over kept and new connections, in pieces, while processes take over from each other; some new ones
 /// are killed on the way. Nobody is turned away unheard, each message is answered 202 and delivered once.
 #[test]
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -140,6 +140,14 @@
     records
 }
 
+/// Locks the folder for this process.
+fn take(folder: &File) -> io::Result<()> {
+    folder.try_lock().map_err(|e| match e {
+        TryLockError::WouldBlock => io::Error::new(io::ErrorKind::WouldBlock, "in use by another process"),
+        TryLockError::Error(e) => e,
+    })
+}
+
 impl Journal {
     /// Opens the folder's journal and tells what is still owed. `most` bounds the folder, in bytes.
     ///
@@ -150,12 +158,7 @@
         let path = folder.join("journal");
         // The folder itself is locked, as its files are replaced. The lock goes with the process.
         let lock = File::open(&folder)?;
-        lock.try_lock().map_err(|e| match e {
-            TryLockError::WouldBlock => {
-                io::Error::new(io::ErrorKind::WouldBlock, "in use by another process")
-            }
-            TryLockError::Error(e) => e,
-        })?;
+        take(&lock)?;
         // What is left of a compaction that was cut off: the file that it would have replaced is whole.
         match fs::remove_file(folder.join("journal.new")) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -206,10 +209,7 @@
     /// # Errors
     /// `WouldBlock` if another process has it; else what writing gives.
     pub fn retake(&mut self) -> io::Result<()> {
-        self.lock.try_lock().map_err(|e| match e {
-            TryLockError::WouldBlock => io::Error::from(io::ErrorKind::WouldBlock),
-            TryLockError::Error(e) => e,
-        })?;
+        take(&self.lock)?;
         self.released = false;
         self.compact()
     }
--- a/crates/linenhall/tests/failures.rs
+++ b/crates/linenhall/tests/failures.rs
@@ -14,6 +14,57 @@
     assert_eq!(sent, 1, "sent again within 1.5 s");
 }
 
+/// i50d7bd: what is held for a dead destination filled the hold.
+#[test]
+fn a_full_hold_refuses_for_the_dead_destination_first() {
+    let mut rig = Rig::new(Settings { max_open: 12, ..settings() }, 2);
+    rig.warm_up(1, 20, 10.0);
+    // Destination 0 fails until it is out.
+    let asked: Vec<_> = (0..6).map(|_| rig.request(SAFE, 0)).collect();
+    rig.give(&asked.iter().map(|x| x.1.clone()).collect::<Vec<_>>());
+    rig.now += 10.0;
+    rig.give(&asked.iter().map(|x| ended(x.0, 0, Outcome::Broken, 10.0)).collect::<Vec<_>>());
+    for _ in 0..5 {
+        rig.ask(SAFE, 0);
+    }
+    let (id, sent) = rig.ask(SAFE, 1);
+    assert!(sent && !rig.refused(id), "the healthy one goes straight out");
+    assert!(rig.last.iter().any(|a| matches!(a, Action::Refuse { .. })) && rig.logged("hold full"));
+}
+
+/// iea7983: hung destinations at their ceilings held every slot.
+#[test]
+fn an_overrun_call_is_called_off_for_a_queue_that_can_send() {
+    let mut rig = Rig::new(Settings { slots: 4, ..settings() }, 4);
+    (0..4).for_each(|d| rig.warm_up(d, 10, 10.0));
+    let hung: Vec<_> = [0, 0, 1, 1].iter().map(|d| rig.request(SAFE, *d)).collect();
+    assert_eq!(rig.give(&hung.iter().map(|x| x.1.clone()).collect::<Vec<_>>()).len(), 4);
+    let (waiting, sent) = rig.ask(SAFE, 2);
+    assert!(!sent);
+    rig.wait(200.0);
+    let off: Vec<_> = hung.iter().filter(|x| rig.cancelled(x.0)).collect();
+    assert_eq!(off.len(), 1, "one call, the longest overrun, is called off");
+    let sent = rig.end(off[0].0, 0, Outcome::Cancelled, 200.0);
+    assert!(sent.iter().any(|s| s.0 == waiting));
+}
+
+/// Vanish day: calls called off taught nothing, and silent destinations were never shut.
+#[test]
+fn calls_without_answers_shut_a_destination_and_late_answers_open_it() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.warm_up(0, 20, 10.0);
+    rig.now += 1.0;
+    let asked: Vec<_> = (0..2).map(|_| rig.request(SAFE, 0)).collect();
+    rig.give(&asked.iter().map(|x| x.1.clone()).collect::<Vec<_>>());
+    rig.wait(100.0);
+    assert!(rig.logged("no answers"));
+    assert!(!rig.ask(SAFE, 0).1, "held while it is out");
+    // Late answers with no failure seen: it was slow, not gone, and there is no ramp.
+    let sent = rig.end(asked[0].0, 0, Outcome::Delivered, 110.0);
+    assert_eq!(sent.len(), 1, "open again at once");
+    assert!(!rig.logged("ramping"));
+}
+
 /// i50d7bd: a call whose answer is lost held its slot though the destination answered others. Where connections
 /// fall silent all day, such calls filled the slots (pieces+silent+leave 822939304235).
 #[test]
--- a/crates/runtime/src/serve.rs
+++ b/crates/runtime/src/serve.rs
@@ -42,12 +42,13 @@
 }
 
 /// Whether what was taken on is this process's matter.
-enum Tenure<R> {
+enum Tenure<H, R> {
     Ours,
-    /// Another process has the folder and may yet give it back: what ends meanwhile waits, at most what was out.
+    /// Another process has the folder and may yet give it back: what happens meanwhile waits as it came, bounded by
+    /// what is out, owed and listed, as nothing new is handed in or sent.
     Released {
         out: HashSet<(u64, u32)>,
-        ended: Vec<EndedHere<R>>,
+        waiting: Vec<H>,
     },
     /// It has all but these attempts, whose ends it is told.
     Passed {
@@ -153,7 +154,7 @@
     out: HashMap<(u64, u32), oneshot::Sender<()>>,
     /// Since when, and how long it may last.
     stopping: Option<(f64, StopTimes)>,
-    tenure: Tenure<C::Response>,
+    tenure: Tenure<Happened<T, C>, C::Response>,
     /// Calls attempts off that another process makes.
     elsewhere: Option<Box<dyn Fn(u64, u32)>>,
     log: fn(&str),
@@ -232,6 +233,11 @@
         let mut inputs = Vec::with_capacity(batch.len());
         let mut batch = batch.into_iter();
         while let Some(happened) = batch.next() {
+            let decides = matches!(happened, Happened::Release(_) | Happened::Retake | Happened::Pass(_));
+            if let (Tenure::Released { waiting, .. }, false) = (&mut self.tenure, decides) {
+                waiting.push(happened);
+                continue;
+            }
             match happened {
                 Happened::Input(input) => self.sort(input, &mut inputs),
                 Happened::List(list) if self.is_ours() => {
@@ -253,25 +259,25 @@
                     }
                     self.take(waiting);
                     let out = self.engine.borrow_mut().release();
-                    self.tenure = Tenure::Released { out: out.iter().copied().collect(), ended: Vec::new() };
+                    self.tenure =
+                        Tenure::Released { out: out.iter().copied().collect(), waiting: Vec::new() };
                     let _nobody_asks = told.send(out);
                     return;
                 }
                 Happened::Retake => {
-                    if let Tenure::Released { ended, .. } = std::mem::replace(&mut self.tenure, Tenure::Ours)
+                    if let Tenure::Released { waiting, .. } =
+                        std::mem::replace(&mut self.tenure, Tenure::Ours)
                     {
                         self.engine.borrow_mut().resume();
-                        inputs.extend(ended.into_iter().map(|e| {
-                            let EndedHere { id, attempt, took_ms, end } = e;
-                            Input::Ended { id, attempt, took_ms, end }
-                        }));
+                        self.take(waiting);
                     }
                 }
                 Happened::Pass(tell) => {
-                    if let Tenure::Released { out, ended } = std::mem::replace(&mut self.tenure, Tenure::Ours)
+                    if let Tenure::Released { out, waiting } =
+                        std::mem::replace(&mut self.tenure, Tenure::Ours)
                     {
                         self.tenure = Tenure::Passed { out, tell };
-                        ended.into_iter().for_each(|e| self.ended_here(e));
+                        self.take(waiting);
                     }
                 }
             }
@@ -306,14 +312,10 @@
     }
 
     fn ended_here(&mut self, end: EndedHere<C::Response>) {
-        match &mut self.tenure {
-            Tenure::Ours => {}
-            Tenure::Released { ended, .. } => ended.push(end),
-            // One that had not begun was never out to whoever has its message.
-            Tenure::Passed { out, tell } => {
-                if out.remove(&(end.id, end.attempt)) {
-                    let _gone = tell.send(end);
-                }
+        // One that had not begun was never out to whoever has its message.
+        if let Tenure::Passed { out, tell } = &mut self.tenure {
+            if out.remove(&(end.id, end.attempt)) {
+                let _gone = tell.send(end);
             }
         }
     }
