--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::config;
+use crate::{account, config};
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::Command;
@@ -11,6 +11,8 @@
   mulleinslip                     serve; what it is told stands in the environment:
                                   ROUTER_CONFIG (file), ROUTER_STATE (folder that lasts), and, before the
                                   file's own, ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY
+  mulleinslip serve --account     the same, with a line a second in the log that says where slots and time went
+  mulleinslip account LOG...      add such lines up and print them as tables
   mulleinslip demo                serve beside stand-ins on loopback, hand in a few messages, print their ends
   mulleinslip check-config FILE   say whether the file can be served with
   mulleinslip --help | --version
@@ -18,8 +20,8 @@
 
 /// What the arguments ask for.
 pub enum Wanted {
-    /// To serve.
-    Serve,
+    /// To serve; with accounts in the log or without.
+    Serve { account: bool },
     /// This was done, or failed for this reason.
     Done(Result<(), String>),
 }
@@ -28,7 +30,9 @@
 pub fn run(args: &[String]) -> Wanted {
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     Wanted::Done(match args[..] {
-        [] => return Wanted::Serve,
+        [] | ["serve"] => return Wanted::Serve { account: false },
+        ["serve", "--account"] => return Wanted::Serve { account: true },
+        ["account", ref logs @ ..] if !logs.is_empty() => account::read(logs).map(|sum| print!("{sum}")),
         ["demo"] => demo(),
         ["check-config", file] => config::check(Path::new(file)).map(|words| println!("{file}: {words}")),
         ["--help" | "-h" | "help"] => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! mulleinslip, the relay on real sockets: the program as a library, so that others can be it as well.
 
+mod account;
 mod cli;
 mod config;
 mod operate;
@@ -11,7 +12,7 @@
 /// The program, with these arguments.
 pub fn main(args: &[String]) -> ExitCode {
     let done = match cli::run(args) {
-        cli::Wanted::Serve => serve::run(),
+        cli::Wanted::Serve { account } => serve::run(account),
         cli::Wanted::Done(done) => done,
     };
     match done {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,5 +1,6 @@
 //! The order in which the parts start, and signals.
 
+use crate::account::Keeper;
 use crate::config::{self, Config};
 use crate::operate::{Operator, Serving};
 use crate::takeover::{self, Stand, TakenOver};
@@ -36,7 +37,7 @@
 const NEXT_PROCESS: usize = 20;
 
 /// Serves as the environment says, until a signal. The error is one line.
-pub fn run() -> Result<(), String> {
+pub fn run(account: bool) -> Result<(), String> {
     // A task that panics would leave its message without an end and nobody the wiser; a process that ends
     // starts again from its journal.
     let report = std::panic::take_hook();
@@ -47,7 +48,7 @@
     let config = config::read()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config, account))
 }
 
 /// A line for the log.
@@ -55,7 +56,7 @@
     eprintln!("mulleinslip: {words}");
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, account: bool) -> Result<(), String> {
     let clock = Clock::start();
     // Before anything that takes time: without a handler a signal ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -90,7 +91,9 @@
     let opened = takeover::open(&config.state, config.disk_bytes).await;
     let (journal, left, taken) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     left.notes.iter().for_each(|note| log(note));
-    let engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
+    let mut engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
+    let books = account.then(|| Keeper::new(&config.settings, clock.now()));
+    books.iter().for_each(|books| engine.observe(Box::new(books.clone())));
     let mut runtime = Runtime::new(engine, carrier.clone(), HttpFront::new(notices), clock, queue, log);
 
     let offer = taken.as_ref().map(|t| t.offer.clone()).unwrap_or_default();
@@ -177,6 +180,7 @@
     });
     eprintln!("mulleinslip: {} serves on {listening}", config.name);
     runtime.run().await;
+    books.iter().for_each(Keeper::end);
     if operator.has_passed() {
         let _all_is_passed = passing.await;
         tokio::select! {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -48,6 +48,12 @@
     }
 }
 
+/// Is shown each round of the module after it: the time, what it was told, what it did.
+pub trait Observer {
+    /// See the trait.
+    fn round(&mut self, now: f64, events: &[Event], actions: &[Action], relay: &Relay);
+}
+
 /// A message that the module has not answered for.
 struct Asking<T> {
     id: u64,
@@ -73,6 +79,7 @@
     follow_up: Vec<Event>,
     stopping: bool,
     released: bool,
+    observer: Option<Box<dyn Observer>>,
 }
 
 /// What an earlier process that still runs tells of itself, beside what the store has.
@@ -103,9 +110,15 @@
             follow_up: Vec::new(),
             stopping: false,
             released: false,
+            observer: None,
         }
     }
 
+    /// Shows each round of the module to this one. Before [`Engine::restore`], to show all of them.
+    pub fn observe(&mut self, observer: Box<dyn Observer>) {
+        self.observer = Some(observer);
+    }
+
     /// Stops in the middle: no attempt begins any more, nothing is recorded, and the caller hands nothing in. Gives
     /// the attempts that are out, message and number.
     pub fn release(&mut self) -> Vec<(u64, u32)> {
@@ -383,10 +396,18 @@
         event
     }
 
-    /// One round of the module, and those that follow from it.
-    fn round<T>(&mut self, now: f64, events: &[Event], asking: Vec<Asking<T>>, out: &mut Vec<Output<T, R>>) {
+    fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Action> {
         let mut actions = Vec::new();
         self.relay.handle(now, events, &mut actions);
+        if let Some(observer) = &mut self.observer {
+            observer.round(now, events, &actions, &self.relay);
+        }
+        actions
+    }
+
+    /// One round of the module, and those that follow from it.
+    fn round<T>(&mut self, now: f64, events: &[Event], asking: Vec<Asking<T>>, out: &mut Vec<Output<T, R>>) {
+        let actions = self.decide(now, events);
         // Senders hear first, as a delivery counts only once its sender has.
         self.answer(asking, &actions, out);
         for action in actions {
@@ -394,9 +415,8 @@
         }
         // Each one reports attempts or messages that are no more, of which the last round made so many.
         while !self.follow_up.is_empty() {
-            let (more, mut actions) = (std::mem::take(&mut self.follow_up), Vec::new());
-            self.relay.handle(now, &more, &mut actions);
-            for action in actions {
+            let more = std::mem::take(&mut self.follow_up);
+            for action in self.decide(now, &more) {
                 self.act(now, action, out);
             }
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,7 +23,7 @@
 mod tally;
 mod timers;
 
-pub use engine::{Alive, Engine, Held, Names};
+pub use engine::{Alive, Engine, Held, Names, Observer};
 pub use message::{Attempt, Ended, Final, Input, Message, Output, Told, Turned};
 pub use mulleinslip_journal as journal;
 pub use store::{Forgetful, Store};
