While slots are short they go where a delivery takes least of them

Cause, by the account: credits of all queues that could send fell to their cap together, as those that waited for something else took their share of each turn; then equal credits left it to the oldest message, whatever its call cost. And the cost of a turn was held between 0.5 and 3 of the mean, so that a call of 35 ms and one of 178 ms differed by a factor of two. Change: what a turn costs goes to those that may send, so that credits keep their sum; while slots are short it is the square of the slot time of a delivery over the mean (lost calls included in the next delivery's price), between 0.05 and 8, cap 8; the time in which a hold drains is reckoned with an even share of slots then; with the hold full the oldest of a class and tenant may go as well as the newest.

--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -85,6 +85,16 @@
     pub calls: LaneCalls,
 }
 
+impl Lane {
+    /// A delivery took so long: its mean and mean deviation as RFC 6298, section 2, has them for round trips.
+    pub fn measure(&mut self, took: f64) {
+        self.latency = Some(match self.latency {
+            None => (took, took / 2.0),
+            Some((mean, dev)) => (mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 4.0),
+        });
+    }
+}
+
 /// An endpoint of the list.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -152,8 +162,33 @@
     pub next: u64,
     pub out: usize,
     pub full_logged: bool,
-    /// The mean time of a call there, in whole microseconds: sums of them are exact.
+    /// What a delivery there takes of a slot, in whole microseconds: sums of them are exact.
     pub mean_us: u64,
+    /// The same in milliseconds, over the last few deliveries, and what calls have taken since the last one.
+    spent: (f64, f64),
+}
+
+/// A delivery's weight in the mean slot time.
+const SPENT_GAIN: f64 = 1.0 / 8.0;
+
+impl Dest {
+    /// A call is over that had a slot for so long. What calls took that delivered nothing is part of the price of
+    /// the next delivery.
+    pub fn spend(&mut self, took_ms: f64, delivered: bool) {
+        let (mean, since) = self.spent;
+        let price = since + took_ms.max(0.0);
+        self.spent = match delivered {
+            false => (mean, price),
+            true if mean == 0.0 => (price, 0.0),
+            true => (mean + (price - mean) * SPENT_GAIN, 0.0),
+        };
+    }
+
+    /// What a delivery takes of a slot by now; 1 ms where nothing is known.
+    pub fn price_us(&self) -> u64 {
+        let (mean, since) = self.spent;
+        ((mean + since * SPENT_GAIN).clamp(1.0, 1e9) * 1000.0) as u64
+    }
 }
 
 impl Default for Dest {
@@ -168,6 +203,7 @@
             out: 0,
             full_logged: false,
             mean_us: 1000,
+            spent: (0.0, 0.0),
         }
     }
 }
@@ -189,6 +225,11 @@
         known.collect()
     }
 
+    /// Whether a lane is among them.
+    pub fn has(&self, id: &LaneId) -> bool {
+        self.lanes.contains_key(id)
+    }
+
     /// Grows with every change.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/linenhall/src/index/agenda.rs
+++ b/crates/linenhall/src/index/agenda.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Where a key stands.
+    pub fn get<Q: Eq + Hash + ?Sized>(&self, key: &Q) -> Option<P>
+    where
+        K: Borrow<Q>,
+    {
+        self.place.get(key).copied()
+    }
+
     /// The first key and its place.
     pub fn first(&self) -> Option<(P, &K)> {
         self.order.first().map(|(place, key)| (*place, key))
--- a/crates/linenhall/src/index/credits.rs
+++ b/crates/linenhall/src/index/credits.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// How many queues may be served.
+    pub fn len(&self) -> usize {
+        self.place.len()
+    }
+
     /// Whether a queue may be served.
     pub fn has(&self, queue: u64) -> bool {
         self.place.contains_key(&queue)
--- a/crates/linenhall/src/index/group.rs
+++ b/crates/linenhall/src/index/group.rs
@@ -46,6 +46,17 @@
         self.ready.is_empty() && self.later.is_empty()
     }
 
+    /// Whether a member is here, and may go.
+    pub fn ready(&self, member: &Member) -> Option<bool> {
+        let ready = self.ready.contains(member);
+        (ready || self.later.contains(member)).then_some(ready)
+    }
+
+    /// The member that is due first, ready or not; of those the oldest.
+    pub fn first(&self) -> Option<Member> {
+        [self.ready.first(), self.later.first()].into_iter().flatten().min().copied()
+    }
+
     /// The member that is due last, ready or not; of those the youngest.
     pub fn last(&self) -> Option<Member> {
         self.ready.last().max(self.later.last()).copied()
--- a/crates/linenhall/src/index/lane_calls.rs
+++ b/crates/linenhall/src/index/lane_calls.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Whether a call is out.
+    pub fn has(&self, kind: &Kind, sent: f64, call: u64) -> bool {
+        self.0.get(kind).is_some_and(|calls| calls.contains(&(At::new(sent), call)))
+    }
+
     /// Of each kind the call that was sent first.
     pub fn oldest(&self) -> impl Iterator<Item = (&Kind, f64, u64)> {
         self.0.iter().filter_map(|(kind, calls)| calls.first().map(|(at, call)| (kind, at.get(), *call)))
--- a/crates/linenhall/src/lib.rs
+++ b/crates/linenhall/src/lib.rs
@@ -3,6 +3,7 @@
 //! gives actions.
 #![warn(missing_docs)]
 
+mod audit;
 mod fleet;
 mod index;
 pub mod interface;
@@ -15,3 +16,4 @@
 pub use index::steps;
 pub use interface::*;
 pub use logic::Relay;
+pub use view::{Bound, LaneState};
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -9,7 +9,7 @@
 
 use crate::fleet::{Dest, Fleet, GroupId, Host, Lane, LaneId, Name, Phase};
 use crate::index::agenda::Agenda;
-use crate::index::credits::{turns, Credits, TURN};
+use crate::index::credits::{turns, Credits};
 use crate::index::group::Member;
 use crate::index::lane_calls::Kind;
 use crate::index::table::Table;
@@ -19,7 +19,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-const CREDIT_CAP: f64 = 2.0; // of the credit of a queue, either way
+const CREDIT_CAP: f64 = 8.0; // of the credit of a queue, either way
 const SICK_DEVS: f64 = 4.0; // a call this many deviations over its mean outruns its latency (RFC 6298)
 const OUT_FAILS: u32 = 5; // failures in a row, time-outs twice, on every endpoint, that shut a lane
 const OUT_SHARE: f64 = 0.7; // or this share of failures of late
@@ -54,12 +54,6 @@
     fn overrun(&self, aim: f64) -> f64 {
         self.latency.map_or(aim, |(mean, dev)| mean + (SICK_DEVS * dev).max(mean))
     }
-    fn measure(&mut self, took: f64) {
-        self.latency = Some(match self.latency {
-            None => (took, took / 2.0),
-            Some((mean, dev)) => (mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 4.0),
-        });
-    }
     fn refill(&mut self, now: f64) {
         // With no pace set the bucket stays full: sends must not run up a debt that a later pace would pay.
         self.tokens = self.pace.map_or(1.0, |pace| {
@@ -82,38 +76,38 @@
 /// The decisions of one relay.
 #[derive(Debug, Default)]
 pub struct Relay {
-    s: Settings,
+    pub(crate) s: Settings,
     rng: fastrand::Rng,
-    now: f64,
+    pub(crate) now: f64,
     seq: u64,
-    msgs: Table<u64, Msg>,
+    pub(crate) msgs: Table<u64, Msg>,
     /// Destinations, endpoints and lanes.
     pub(crate) f: Fleet,
-    calls: Table<u64, Call>,
-    keys: Keys,
+    pub(crate) calls: Table<u64, Call>,
+    pub(crate) keys: Keys,
     /// Marked since they were last looked at.
     touched: (BTreeSet<LaneId>, BTreeSet<u64>),
     /// Destinations with something held, and the sum of their mean times.
-    backlogged: (usize, u64),
-    credits: Credits,
+    pub(crate) backlogged: (usize, u64),
+    pub(crate) credits: Credits,
     /// Destinations that would send a probe next, and where.
-    probing: BTreeMap<u64, Name>,
+    pub(crate) probing: BTreeMap<u64, Name>,
     /// What the destination that was looked at last would send, and when that was.
     looked: Option<(u64, Look)>,
     /// By time: the ends of held requests, what holds single ones back, destinations that may send from then
     /// on, lanes whose calls will have outrun their latency, and those one of whose calls, the one named,
     /// will have outrun all patience.
-    ends: Agenda<At, u64>,
-    resting: Agenda<At, u64>,
-    wakes: Agenda<At, u64>,
-    late: Agenda<At, LaneId>,
-    overdue: Agenda<(At, u64), LaneId>,
-    called_off: usize,
+    pub(crate) ends: Agenda<At, u64>,
+    pub(crate) resting: Agenda<At, u64>,
+    pub(crate) wakes: Agenda<At, u64>,
+    pub(crate) late: Agenda<At, LaneId>,
+    pub(crate) overdue: Agenda<(At, u64), LaneId>,
+    pub(crate) called_off: usize,
     /// What a destination's hold earns least by, and when that was reckoned; kept while half full.
-    earns: Agenda<At, u64>,
+    pub(crate) earns: Agenda<At, u64>,
     earned: Agenda<u64, u64>,
-    weighing: bool,
-    unweighed: BTreeSet<u64>,
+    pub(crate) weighing: bool,
+    pub(crate) unweighed: BTreeSet<u64>,
     tenants_total: f64,
     tenants: Vec<Meter>,
     all: Meter,
@@ -181,9 +175,8 @@
             let overdue = l.and_then(|l| self.overdue_at(l));
             self.late.place(&id, late);
             self.overdue.place(&id, overdue.map(|(at, call)| (At::new(at), call)));
-            let mean = self.f.lanes_of(id.0).filter_map(|x| x.1.latency).fold(1.0, |m, l| l.0.max(m));
-            let mean = (mean * 1000.0) as u64;
             if let Some(d) = self.f.dests.get_mut(&id.0) {
+                let mean = d.price_us();
                 let before = std::mem::replace(&mut d.mean_us, mean);
                 self.backlogged.1 =
                     if d.held > 0 { self.backlogged.1 - before + mean } else { self.backlogged.1 };
@@ -321,7 +314,7 @@
     }
 
     /// When the lane may take a call: now, or at a later time (`f64::MAX`: not before something happens).
-    fn gate(&self, id: &LaneId) -> f64 {
+    pub(crate) fn gate(&self, id: &LaneId) -> f64 {
         let Some(l) = self.f.lanes.get(id) else { return self.now };
         let mut at = l.wait_until;
         match l.phase {
@@ -348,14 +341,14 @@
     }
 
     /// Whether a destination is sick: a call outruns its latency, or its last outcome failed.
-    fn sick(&self, dest: u64) -> bool {
+    pub(crate) fn sick(&self, dest: u64) -> bool {
         let late =
             |l: &Lane| l.calls.oldest().any(|(kind, sent, _)| self.now - sent > l.overrun(kind.aim.get()));
         self.f.lanes_of(dest).any(|(_, l)| l.failing || l.phase == Phase::Out || late(l))
     }
 
     /// The slot ceiling: under three quarters of the slots, half while sick.
-    fn ceiling(&self, dest: u64) -> usize {
+    pub(crate) fn ceiling(&self, dest: u64) -> usize {
         let most = if self.sick(dest) { self.s.slots / 2 } else { self.s.slots * 3 / 4 };
         most.max(1)
     }
@@ -626,16 +619,19 @@
 
     /// Of a destination's hold what earns least for its time: the newest of some class and tenant, delivered
     /// when all that is held there has gone. Only what it is harmless to refuse counts.
-    fn least(&self, dest: u64) -> Option<(f64, Member)> {
+    pub(crate) fn least(&self, dest: u64) -> Option<(f64, Member)> {
         let d = self.f.dests.get(&dest)?;
         let wait = self.drain_ms(dest, d.held);
         let groups = d.groups.iter().filter(|(g, _)| g.first.is_none());
         let earns = groups.filter_map(|(g, group)| {
             step();
-            let newest = group.last()?;
-            let at = (self.now + wait).min(newest.due.get() - 1.0);
-            let c = &self.s.classes[g.class];
-            Some((self.worth(c, &newest, at, self.in_share(g.tenant)) / wait, newest))
+            // The newest would go last; the oldest may have lost its worth.
+            let (c, share) = (&self.s.classes[g.class], self.in_share(g.tenant));
+            let earns = [group.first(), group.last()].into_iter().flatten().map(|m| {
+                let at = (self.now + wait).min(m.due.get() - 1.0);
+                (self.worth(c, &m, at, share) / wait, m)
+            });
+            earns.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.seq.cmp(&a.1.seq)))
         });
         earns.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.seq.cmp(&a.1.seq)))
     }
@@ -647,13 +643,20 @@
         self.earned.place(&dest, least.map(|_| self.seq));
     }
 
+    fn short(&self) -> bool {
+        self.calls.len() + 1 >= self.s.slots
+    }
+
     /// How long a hold takes to send so many requests.
     fn drain_ms(&self, dest: u64, count: usize) -> f64 {
         // A well lane without a pace sends as slots allow, also if it never did; one that is out hardly.
+        // While slots are short they allow it an even share of them.
+        let queues = if self.short() { self.credits.len().max(1) } else { 1 };
+        let slots = self.s.slots as f64 / queues as f64;
         let able = |l: &Lane| match (l.phase, l.pace) {
             (Phase::Out, _) => 0.0,
             (_, Some(pace)) => pace,
-            (Phase::Well, _) => self.s.slots as f64 * 1000.0 / l.latency.map_or(1000.0, |x| x.0.max(1.0)),
+            (Phase::Well, _) => slots * 1000.0 / l.latency.map_or(1000.0, |x| x.0.max(1.0)),
             _ => l.soon.rate(self.now).max(l.usual.rate(self.now)),
         };
         let rate: f64 = self.f.lanes_of(dest).map(|x| able(x.1)).sum();
@@ -727,7 +730,10 @@
             let harm = self.f.hosts.get(&host).and_then(|h| self.conns_hurt.get(&h.kind));
             let hurt = harm.is_some_and(|at| self.now - at < HURT_MS);
             let close = hurt && !held && usual * KEEP_MS < 1000.0;
-            self.f.dests.get_mut(&lane.0).into_iter().for_each(|d| d.out = d.out.saturating_sub(1));
+            if let Some(d) = self.f.dests.get_mut(&lane.0) {
+                d.out = d.out.saturating_sub(1);
+                d.spend(self.now - sent, o == Outcome::Delivered);
+            }
             if let Some(h) = self.f.hosts.get_mut(&host) {
                 (h.out, h.used_at) = (h.out.saturating_sub(1), self.now);
                 if close && h.out == 0 {
@@ -828,11 +834,11 @@
     }
 
     /// From when on nothing of its own holds a request back: a pause, an earlier one of its key, a rest.
-    fn free_at(&self, id: u64, m: &Msg) -> f64 {
+    pub(crate) fn free_at(&self, id: u64, m: &Msg) -> f64 {
         m.not_before.max(m.key.as_ref().map_or(0.0, |key| self.keys.free_at(key, m.seq, id)))
     }
 
-    fn group(&self, m: &Msg) -> GroupId {
+    pub(crate) fn group(&self, m: &Msg) -> GroupId {
         let keyed = self.s.classes[m.class].effect == Effect::Keyed;
         let first = m.maybe.as_ref().filter(|_| keyed).map(|x| x.1.clone());
         GroupId { class: m.class, tenant: m.tenant, first }
@@ -846,7 +852,7 @@
     }
 
     /// Until when a request may be sent: a keyed one that may have run, only within its window.
-    fn last_send(&self, m: &Msg) -> f64 {
+    pub(crate) fn last_send(&self, m: &Msg) -> f64 {
         let c = &self.s.classes[m.class];
         match &m.maybe {
             Some((at, _)) if c.effect == Effect::Keyed => m.due.min(at + c.window_ms - self.s.tick_ms),
@@ -940,7 +946,7 @@
 
     /// All backlogged queues gain, the one that is served pays.
     fn charge(&mut self, dest: u64) {
-        let (queues, means) = self.backlogged;
+        let ((queues, means), short) = (self.backlogged, self.short());
         let Some(d) = self.f.dests.get_mut(&dest) else { return };
         // A lone request that goes straight out is no turn: it moves no credit.
         if queues < 2 && d.held < 2 {
@@ -948,9 +954,11 @@
         }
         // While slots are short a turn costs its slot time: else slow destinations take most of them.
         let mean = means as f64 / queues as f64;
-        let short = self.calls.len() + 1 >= self.s.slots;
-        let cost = if short { (d.mean_us as f64 / mean).clamp(0.5, 3.0) } else { 1.0 };
-        d.base = self.credits.turn(d.base, TURN / queues as i128, turns(cost));
+        let cost = if short { (d.mean_us as f64 / mean).powi(2).clamp(0.05, 8.0) } else { 1.0 };
+        // What is paid goes to those that may send: else the credit of all of them would fall to the cap
+        // while others wait for something else, and tell them apart no more.
+        let share = turns(cost) / self.credits.len().max(1) as i128;
+        d.base = self.credits.turn(d.base, share, turns(cost));
     }
 
     /// The requests of a destination go first in, first out, unless the hold is so long that some would lose
@@ -1025,7 +1033,7 @@
     }
 
     /// What a destination would send next, if it may send and a slot is free.
-    fn look(&self, dest: u64) -> Look {
+    pub(crate) fn look(&self, dest: u64) -> Look {
         let Some(d) = self.f.dests.get(&dest).filter(|d| d.held > 0) else { return Look::Nothing };
         if d.out >= self.ceiling(dest) {
             return Look::Nothing;
@@ -1049,7 +1057,7 @@
     }
 
     /// When a destination that may send nothing now may do so by time alone.
-    fn next_open(&self, dest: u64) -> Option<f64> {
+    pub(crate) fn next_open(&self, dest: u64) -> Option<f64> {
         let d = self.f.dests.get(&dest).filter(|d| d.held > 0)?;
         let mut next = f64::MAX;
         let mut at = |t: f64| next = if t > self.now { next.min(t) } else { next };
@@ -1172,7 +1180,7 @@
     }
 
     /// When [`Relay::watch_overruns`] would shut the lane.
-    fn late_at(&self, l: &Lane) -> Option<f64> {
+    pub(crate) fn late_at(&self, l: &Lane) -> Option<f64> {
         let calls = l.calls.after(l.good_at, 2).filter(|x| !x.0.trial);
         let mut late: Vec<f64> =
             calls.map(|(kind, sent, _)| sent + 1.5 * l.overrun(kind.aim.get())).collect();
@@ -1204,7 +1212,7 @@
     }
 
     /// When the first of a lane's calls is given no more time, and which.
-    fn overdue_at(&self, l: &Lane) -> Option<(f64, u64)> {
+    pub(crate) fn overdue_at(&self, l: &Lane) -> Option<(f64, u64)> {
         // Also of a lane that delivers: where connections fall silent, its lost calls would fill the slots.
         let ends = l.calls.oldest().map(|(kind, sent, call)| {
             let patience = if kind.fragile { 3.0 } else { 1.0 };
