Lost calls give slots back at a ceiling; the list of hosts crosses a takeover

Cause 1: silent connections to the busiest destination held its half of the slots while others were free, and calls were called off only with none free. Now one beyond twice its latency's bound, whose lane has delivered since, goes if its destination is at its ceiling and holds more; never an unsafe one. Cause 2: with discovery silent a new process knew only the list in its configuration: it refused what the old one had hosts for, and could send to hosts that the old one had heard drain. Now the list crosses, with the agent that told it, the newer one last. Tests: list late, a release of hosts amid takeovers with the drain on, a restart amid a crowd that stops halfway, half of the partners slow without errors, partners that fall silent in turn. The load test hands in unsafe messages, as safe ones may be resent.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
-use crate::{account, config};
+use crate::account;
+use crate::config;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::Command;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -86,7 +86,6 @@
     let first = tokio::time::timeout(FIRST_LIST, agent.ask(None)).await;
     let first = first.map_err(|_| "no answer in time".to_string()).and_then(|list| list);
     let first = first.inspect_err(|e| log(&format!("first list: {e}; starting from the known one")));
-    let index = first.as_ref().ok().map(|list| list.index);
 
     let opened = takeover::open(&config.state, config.disk_bytes).await;
     let (journal, left, taken) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
@@ -100,18 +99,19 @@
     takeover::heed(&carrier, &offer.waits);
     let now = clock.now();
     let learnt = takeover::learnt(&offer);
-    let waits = offer.waits.into_iter().map(|(dest, host, ms)| (dest, host, now + ms)).collect();
+    let waits = offer.waits.iter().cloned().map(|(dest, host, ms)| (dest, host, now + ms)).collect();
     let alive = Alive { out: offer.out.clone(), waits, learnt };
     let (call_off, call_offs) = mpsc::unbounded_channel();
     runtime.calls_off_elsewhere(move |id, attempt| {
         let _gone = call_off.send((id, attempt));
     });
-    runtime.restore([Some(config.known), first.ok()].into_iter().flatten().collect(), left, &alive);
+    let (lists, index) = takeover::lists(config.known, &offer, first.ok(), config.discovery);
+    runtime.restore(lists, left, &alive);
 
     let (moved, place) = watch::channel(config.discovery);
     spawn_local(run_notices(place.clone(), notices_inbox, handle.clone()));
     let news = handle.clone();
-    spawn_local(agent.watch(index, place, move |list: List| news.list(list)));
+    spawn_local(agent.watch(index, place.clone(), move |list: List| news.list(list)));
     let file = config.file;
     spawn_local(async move {
         while reload.recv().await.is_some() {
@@ -159,6 +159,7 @@
         carrier: carrier.clone(),
         engine: runtime.engine(),
         clock,
+        place: place.clone(),
         handle: handle.clone(),
         operator: operator.clone(),
     };
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -3,21 +3,24 @@
 
 use crate::operate::Operator;
 use mulleinslip_engine::{Ended as Came, Engine};
-use mulleinslip_http::{Clients, Handle, HttpCarrier, Intake, Passed};
+use mulleinslip_http::{Clients, Handle, HttpCarrier, Intake, List, Passed};
 use mulleinslip_journal::{Journal, Left};
 use mulleinslip_runtime::{Clock, EndedHere};
 use mulleinslip_takeover::channel::{Channel, Door};
-use mulleinslip_takeover::message::{Ended, ToNew, ToOld, FIRST_VERSION, PART_ROWS, ROWS, VERSION};
+use mulleinslip_takeover::message::{
+    Ended, ToNew, ToOld, FIRST_VERSION, LIST_ROWS, PART_ROWS, ROWS, VERSION,
+};
 use mulleinslip_takeover::protocol::{New, NewStep, Offer, Old, OldEvent, OldStep};
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::io::{self, ErrorKind};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -160,6 +163,26 @@
     read.collect()
 }
 
+/// The lists to start from, the newest last, and the version that is held of what `agent` tells. The old process's may
+/// be newer than the one just asked for, or the only one there is.
+pub fn lists(known: List, offer: &Offer, first: Option<List>, agent: SocketAddr) -> (Vec<List>, Option<u64>) {
+    let mut passed: Option<List> = None;
+    for (_, part) in offer.list.iter().filter(|(told_by, _)| *told_by == agent.to_string()) {
+        match serde_json::from_str::<List>(part) {
+            Ok(part) => passed
+                .get_or_insert_with(|| List { endpoints: Vec::new(), ..part })
+                .endpoints
+                .extend(part.endpoints),
+            Err(e) => log(&format!("takeover: a part of the list: {e}")),
+        }
+    }
+    let index = [&first, &passed].into_iter().flatten().map(|list| list.index).max();
+    let mut told: Vec<List> = passed.into_iter().chain(first).collect();
+    // Of equals the one just asked for.
+    told.sort_by_key(|list| list.index);
+    ([known].into_iter().chain(told).collect(), index)
+}
+
 /// Has the carrier heed waits as they stand in a frame.
 pub fn heed(carrier: &HttpCarrier, rows: &[(u64, String, f64)]) {
     let spans = rows
@@ -177,6 +200,8 @@
     pub carrier: Rc<HttpCarrier>,
     pub engine: Rc<RefCell<Engine<Journal, ()>>>,
     pub clock: Clock,
+    /// Where discovery's agent is.
+    pub place: watch::Receiver<SocketAddr>,
     pub handle: Handle,
     pub operator: Rc<Operator>,
 }
@@ -259,6 +284,14 @@
     /// All that the new process needs, in the frames of the version that it speaks.
     async fn tell(&self, channel: &Channel, speaks: u16) -> io::Result<()> {
         self.tell_waits(channel).await?;
+        if speaks > FIRST_VERSION {
+            let (list, agent) = (self.carrier.list(), self.place.borrow().to_string());
+            for rows in list.endpoints.chunks(LIST_ROWS) {
+                let part = List { endpoints: rows.to_vec(), ..list };
+                let part = serde_json::to_string(&part).map_err(io::Error::other)?;
+                channel.send(&ToNew::List { agent: agent.clone(), part }, None).await?;
+            }
+        }
         let learnt = self.engine.borrow().learnt(self.clock.now());
         for part in learnt.parts(PART_ROWS).iter().filter(|_| speaks > FIRST_VERSION) {
             let text = serde_json::to_string(part).map_err(io::Error::other)?;
--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -12,8 +12,12 @@
 const PROGRAM: Program = program!();
 
 fn request(id: &str, dest: u64, body: &[u8]) -> Vec<u8> {
+    request_of("safe", id, dest, body)
+}
+
+fn request_of(class: &str, id: &str, dest: u64, body: &[u8]) -> Vec<u8> {
     let head = format!(
-        "POST /safe HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Caller: acme\r\nX-Budget: 4000m\r\n\
+        "POST /{class} HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Caller: acme\r\nX-Budget: 4000m\r\n\
          Content-Length: {}\r\nX-Envelope: dest={dest}\r\n\r\n",
         body.len()
     );
@@ -148,7 +152,7 @@
     loop {
         match channel.receive::<ToNew>().await.unwrap() {
             Some((ToNew::Ready { .. }, listener)) => return listener.is_some(),
-            Some((ToNew::Out(_) | ToNew::Waits(_) | ToNew::Learnt(_), None)) => {}
+            Some((ToNew::Out(_) | ToNew::Waits(_) | ToNew::Learnt(_) | ToNew::List { .. }, None)) => {}
             other => panic!("{other:?}"),
         }
     }
@@ -257,7 +261,8 @@
                 let mut used = client.take().unwrap_or_else(|| {
                     Client(std::io::BufReader::new(std::net::TcpStream::connect(address).unwrap()))
                 });
-                let bytes = request(&id, 1, &[7; 300]);
+                // Unsafe: a second call would be a broken rule, whatever else happens to the first.
+                let bytes = request_of("unsafe", &id, 1, &[7; 300]);
                 let cut = (n * 37 + c * 11) % bytes.len();
                 used.send(&bytes[..cut]);
                 std::thread::sleep(Duration::from_millis(2));
@@ -356,7 +361,10 @@
         let go = c.receive::<ToNew>().await.unwrap();
         assert!(matches!(go, Some((ToNew::Go, None))), "{go:?}");
         while let Ok(Some((frame, _))) = c.receive::<ToNew>().await {
-            assert!(!matches!(frame, ToNew::Host { .. } | ToNew::Learnt(_)), "{frame:?}");
+            assert!(
+                !matches!(frame, ToNew::Host { .. } | ToNew::Learnt(_) | ToNew::List { .. }),
+                "{frame:?}"
+            );
         }
     });
 }
@@ -405,6 +413,114 @@
     until("a delivery", || host.delivered("after").then_some(()));
 }
 
+/// Discovery is silent when the new process starts: it goes on with the list of the old one, which is not the one that both
+/// were started with. Hosts that drain get nothing new, also from it.
+#[test]
+fn a_new_process_that_gets_its_list_late_goes_on_with_the_old_ones() {
+    let (first, next) = (Host::ok(), Host::ok());
+    let agent = Agent::new(&[("first", 1, &first)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    old.take("safe", "before", 1);
+    until("a watch", || (agent.watches() > 0).then_some(()));
+    agent.list("next", 1, next.address, "active");
+    agent.list("first", 1, first.address, "leaving");
+    until("the news", || (old.figure("edge_router_skipped_hosts") == 1).then_some(()));
+    agent.set_down(true);
+    let new = old.beside();
+    assert_eq!(new.figure("edge_router_known_hosts"), 2, "as the old one had it");
+    for n in 0..5 {
+        new.take("safe", &format!("m{n}"), 1);
+    }
+    next.wait_calls(5);
+    assert_eq!(first.heard().len(), 1, "it drains");
+    // And what is told once discovery is back counts.
+    agent.set_down(false);
+    agent.list("next", 1, next.address, "leaving");
+    until("the news", || (new.figure("edge_router_skipped_hosts") == 2).then_some(()));
+}
+
+/// Hosts drain, go and are replaced while processes take over, two within a few seconds and one while the drain is on.
+/// Nothing new goes to a host that the serving process has heard drains.
+#[test]
+fn a_release_of_the_hosts_amid_takeovers_keeps_its_drains() {
+    let hosts: Vec<Host> = (0..4).map(|_| Host::ok()).collect();
+    let agent = Agent::new(&[("h0", 1, &hosts[0])]);
+    let mut relay = Relay::start(PROGRAM, &agent);
+    assert_eq!(relay.call("drain-on"), "+OK\n");
+    for n in 1..hosts.len() {
+        let (old, new) = (format!("h{}", n - 1), format!("h{n}"));
+        relay.take("safe", &format!("before{n}"), 1);
+        // The change comes while the new process starts.
+        let told = agent.clone();
+        let (gone, come) = (hosts[n - 1].address, hosts[n].address);
+        let change = std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(3 * n as u64));
+            told.list(&new, 1, come, "active");
+            told.list(&old, 1, gone, "leaving");
+        });
+        let next = relay.beside();
+        change.join().unwrap();
+        until("the news", || (next.figure("edge_router_skipped_hosts") == n as u64).then_some(()));
+        let before = hosts[n - 1].heard().len();
+        for m in 0..4 {
+            next.take("safe", &format!("after{n}-{m}"), 1);
+        }
+        hosts[n].wait_calls(4);
+        assert_eq!(hosts[n - 1].heard().len(), before, "h{} drains", n - 1);
+        relay = next;
+    }
+    let mut client = relay.client();
+    client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.answer().unwrap().status(), 503, "clients are still sent elsewhere");
+    assert_eq!(relay.call("drain-off"), "+OK\n");
+    until("all ends", || (relay.figure("edge_router_in_progress") == 0).then_some(()));
+    assert!(agent.all_notices().is_empty(), "none was given up: {:?}", agent.all_notices());
+}
+
+/// A planned restart amid a crowd of connections that stopped in the middle of a request, with few descriptors: what was
+/// taken on is delivered, each once, and the next process serves though the crowd stays.
+#[test]
+fn a_restart_amid_a_crowd_that_stops_halfway_loses_nothing() {
+    let host = Host::new(|_, n| if n < 3 { Reply::Late(200) } else { Reply::Status(200) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    agent.hold(2);
+    let mut config = config(agent.address);
+    config["limits"]["sockets"] = 128.into();
+    let mut relay = Relay::with(PROGRAM, config, &agent);
+    let mut regular = relay.client();
+    for n in 0..3 {
+        assert_eq!(regular.hand_in("safe", &format!("out{n}"), 1, 4000, b"").status(), 202);
+        assert_eq!(regular.hand_in("safe", &format!("held{n}"), 2, 4000, b"").status(), 202);
+    }
+    let crowd = |address| {
+        let half = request("half", 1, &[7; 300]);
+        let come = (0..200).filter_map(move |n| {
+            let mut stream = std::net::TcpStream::connect(address).ok()?;
+            stream.write_all(&half[..n % half.len()]).ok()?;
+            Some(stream)
+        });
+        come.collect::<Vec<_>>()
+    };
+    let _before = crowd(relay.address);
+    relay.terminate();
+    assert!(relay.wait_exit().success(), "it ends in time though the crowd stays");
+    let relay = relay.killed(|_| {});
+    let _after = crowd(relay.address);
+    agent.list("b", 2, host.address, "active");
+    for n in 0..3 {
+        until("the held one", || host.delivered(&format!("held{n}")).then_some(()));
+        let calls = (host.calls_of(&format!("held{n}")), host.calls_of(&format!("out{n}")));
+        assert_eq!(calls, (1, 1), "{n}: once");
+    }
+    // Whoever comes whole is served, at once or as soon as those that stopped are left.
+    until("a new client", || {
+        let mut client = Client(std::io::BufReader::new(std::net::TcpStream::connect(relay.address).ok()?));
+        client.0.get_mut().write_all(&request("new", 1, b"body")).ok()?;
+        client.answer().filter(|a| a.status() == 202).map(|_| ())
+    });
+    until("its delivery", || host.delivered("new").then_some(()));
+}
+
 /// A client that comes while nobody accepts is in the queue of the listener that both processes share.
 #[test]
 fn clients_that_come_in_between_are_served() {
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -3,7 +3,7 @@
 
 use crate::conn::{bytes, Answer, Conn, Failure, Progress, SMALL};
 use crate::idle::Idle;
-use crate::list::{List, ListNames, Status};
+use crate::list::{Entry, List, ListNames, Status};
 use crate::outcomes::Meaning;
 use bytes::Bytes;
 use hyper::header::{HeaderName, HOST};
@@ -37,10 +37,15 @@
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 struct Host {
-    address: SocketAddr,
-    dest: u64,
+    /// What the list says of it.
+    entry: Entry,
     apart: bool,
-    active: bool,
+}
+
+impl Host {
+    fn active(&self) -> bool {
+        self.entry.status == Status::Active
+    }
 }
 
 /// What shares a told wait: a destination, or one host where hosts are routes apart.
@@ -49,6 +54,8 @@
 #[derive(Default)]
 struct State {
     hosts: HashMap<String, Host>,
+    /// The version of the list that was learnt last.
+    index: u64,
     waits: HashMap<Lane, Instant>,
     open: usize,
     idle: Idle<Conn>,
@@ -140,6 +147,14 @@
         }
     }
 
+    /// The list as it stands, whole. Empty at version 0 before the first.
+    pub fn list(&self) -> List {
+        let state = self.state.borrow();
+        let mut endpoints: Vec<Entry> = state.hosts.values().map(|h| h.entry.clone()).collect();
+        endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+        List { index: state.index, snapshot: true, endpoints }
+    }
+
     /// A connection that stands idle, for another process: host, for how long, socket. The oldest first.
     pub fn pass_idle(&self) -> Option<(String, Duration, OwnedFd)> {
         loop {
@@ -157,7 +172,7 @@
         stream.set_nonblocking(true)?;
         let conn = Conn::on(TcpStream::from_std(stream)?).await?;
         let mut state = self.state.borrow_mut();
-        let host = state.hosts.get(endpoint).filter(|h| h.active && h.address == peer);
+        let host = state.hosts.get(endpoint).filter(|h| h.active() && h.entry.address == peer);
         let room = state.open + state.idle.len() < self.s.most_open;
         if let (Some(_), true, Some(since)) = (host, room, Instant::now().checked_sub(idle)) {
             state.idle.keep(endpoint, since, conn);
@@ -223,7 +238,7 @@
         let address = {
             let mut state = self.state.borrow_mut();
             let Some(host) = state.hosts.get(endpoint) else { return Err(Held::NotNow) };
-            let address = host.address;
+            let address = host.entry.address;
             while let Some((since, conn)) = state.idle.take(endpoint) {
                 if since.elapsed() < self.idle && conn.usable() {
                     state.open += 1;
@@ -246,7 +261,7 @@
     fn keep(&self, endpoint: &str, conn: Conn) {
         let mut state = self.state.borrow_mut();
         // Whether it still stands is asked when it is taken up again.
-        if conn.reusable() && state.hosts.get(endpoint).is_some_and(|h| h.active) {
+        if conn.reusable() && state.hosts.get(endpoint).is_some_and(|h| h.active()) {
             state.idle.keep(endpoint, Instant::now(), conn);
         }
     }
@@ -254,9 +269,10 @@
     /// The host's address, if a request may be written to it now.
     fn may_write(&self, endpoint: &str, dest: Option<u64>) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        let host = state.hosts.get(endpoint).filter(|h| h.active && dest.is_none_or(|d| d == h.dest))?;
+        let host =
+            state.hosts.get(endpoint).filter(|h| h.active() && dest.is_none_or(|d| d == h.entry.group))?;
         let waits = state.waits.get(&lane(endpoint, host)).is_some_and(|until| *until > Instant::now());
-        (!waits).then_some(host.address)
+        (!waits).then_some(host.entry.address)
     }
 
     /// What an answer means, as it came.
@@ -297,6 +313,7 @@
 
     fn learn(&self, list: List) -> Discovery {
         let mut state = self.state.borrow_mut();
+        state.index = list.index;
         let State { hosts, idle, .. } = &mut *state;
         if list.snapshot {
             let named: HashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
@@ -315,14 +332,13 @@
                 continue;
             }
             let apart = self.s.apart.get(self.s.names.kind(&e.kind)).copied().unwrap_or(false);
-            let fresh = Host { address: e.address, dest: e.group, apart, active: true };
-            let host = hosts.entry(e.name.clone()).or_insert(fresh);
-            host.active = e.status == Status::Active;
+            let host = Host { entry: e.clone(), apart };
+            let active = host.active();
+            let before = hosts.insert(e.name.clone(), host).map(|h| h.entry.address);
             // Connections to an address that the host has left, or to a host that wants nothing more.
-            if !host.active || host.address != e.address {
+            if !active || before.is_some_and(|before| before != e.address) {
                 idle.drop_all(&e.name);
             }
-            (host.address, host.dest, host.apart) = (e.address, e.group, apart);
         }
         self.s.names.discovery(&list)
     }
@@ -394,5 +410,5 @@
 }
 
 fn lane(endpoint: &str, host: &Host) -> Lane {
-    (host.dest, host.apart.then(|| endpoint.to_string()))
+    (host.entry.group, host.apart.then(|| endpoint.to_string()))
 }
--- a/crates/http/src/list.rs
+++ b/crates/http/src/list.rs
@@ -1,11 +1,11 @@
 //! Discovery's list, as it stands on the socket and in the configuration.
 
 use linenhall::{Discovery, Endpoint, Listed};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A whole list, or what changed.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct List {
     /// Its version.
     #[serde(default)]
@@ -19,7 +19,7 @@
 }
 
 /// One host of the list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Entry {
     /// Its name.
     pub name: String,
@@ -41,7 +41,7 @@
 }
 
 /// State of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Status {
     /// Listed.
--- a/crates/linenhall/src/audit.rs
+++ b/crates/linenhall/src/audit.rs
@@ -93,12 +93,15 @@
     fn audit_destinations(&self) -> Result<(), String> {
         let free = self.calls.len() < self.s.slots;
         for (dest, d) in self.f.dests.walk() {
+            // What a ramping lane bears changes with time alone, up and down: it is looked at now and then.
+            let ramps = self.f.lanes_of(*dest).any(|x| matches!(x.1.phase, Phase::Ramp(_)));
             let may_send = self.credits.has(*dest);
             let weighed = self.earns.get(dest).is_some() || self.unweighed.contains(dest);
             let counts = self.weighing && self.least(*dest).is_some();
             want(weighed || !counts, || format!("destination {dest}: not weighed"))?;
             want(d.held > 0 || !may_send, || format!("destination {dest}: a turn for nothing"))?;
             match self.look(*dest) {
+                Look::Send(..) if ramps => {}
                 Look::Send(id, host) => {
                     want(may_send, || format!("destination {dest}: would send {id} to {host}, has no turn"))?;
                     want(!free, || format!("destination {dest}: {id} waits with a slot free"))?;
@@ -111,8 +114,6 @@
                 }
                 Look::Nothing => {
                     let (next, wake) = (self.next_open(*dest), self.wakes.get(dest));
-                    // What a ramping lane bears also falls with time, which may close what another bound held.
-                    let ramps = self.f.lanes_of(*dest).any(|x| matches!(x.1.phase, Phase::Ramp(_)));
                     let woken =
                         ramps || next.is_none_or(|next| wake.is_some_and(|wake| wake.get() <= next + 1e-6));
                     want(woken || may_send, || {
--- a/crates/linenhall/src/lib.rs
+++ b/crates/linenhall/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod audit;
 mod fleet;
+mod handover;
 mod index;
 pub mod interface;
 mod keys;
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -41,6 +41,8 @@
 const HURT_MS: f64 = 60000.0; // or if no connection of its kind was refused or broke for so long
 const LOSS_STEPS: f64 = 4294967296.0; // in a unit of worth
 const ASK_MS: (f64, f64) = (500.0, 8000.0); // between failed calls for the list
+const OVERDUE: usize = 16; // calls beyond their time that are looked at, the longest first
+const LOST: f64 = 2.0; // of the time after which a call outruns its latency: so long it may just be slow
 const TIES: usize = 3; // looks among equal credits for whose message is the oldest
 const ENDS: (usize, f64) = (512, 4.0); // messages that end in one round at most; time for such a round
 const LEAST: (usize, usize) = (16, 4); // holds weighed anew when one must go: the least, the longest ago
@@ -1112,25 +1114,40 @@
     /// none free and such a queue waiting, the call whose time was up first is called off. Without this, two
     /// hung destinations at their ceiling stop the whole relay. An unsafe one is lost by it: it gets more.
     fn free_slots(&mut self, out: &mut Vec<Action>) {
-        if !self.s.may_cancel || self.calls.len() < self.s.slots || self.called_off > 0 {
+        if !self.s.may_cancel || self.called_off > 0 {
             return;
         }
-        let Some(call_id) = self.overdue.first().map(|((at, call), _)| (at.get(), call)) else { return };
-        if self.now <= call_id.0 || !self.waits() {
-            return;
-        }
-        let Some(call) = self.calls.get_mut(&call_id.1) else { return };
+        let all = self.calls.len() >= self.s.slots;
+        let first = self.overdue.first().filter(|x| all && x.0 .0.get() < self.now).map(|x| x.0 .1);
+        let first = first.filter(|_| self.waits());
+        let Some(call_id) = first.or_else(|| self.lost_at_ceiling()) else { return };
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.called_off = true;
         let mut riders = call.riders.clone();
         riders.sort_unstable();
         self.called_off += 1;
         for id in riders {
             let flying = self.msgs.get(&id).into_iter().flat_map(|m| &m.flying);
-            let off = flying.filter(|f| f.1 == call_id.1);
+            let off = flying.filter(|f| f.1 == call_id);
             out.extend(off.map(|f| Action::Cancel { id, attempt: f.0 }));
         }
     }
 
+    /// A call beyond its latency whose lane has delivered since it was sent is lost, not slow: it must not
+    /// hold one of the few slots that a sick destination has while more waits for these.
+    fn lost_at_ceiling(&self) -> Option<u64> {
+        let due = self.overdue.iter().take_while(|x| x.0 .0.get() < self.now).take(OVERDUE);
+        let lost = due.filter(|((_, call), lane)| {
+            // An unsafe message is lost by it.
+            let Some(c) = self.calls.get(call).filter(|c| !c.kind.fragile) else { return false };
+            let full = |d: &Dest| d.held > 0 && d.out >= self.ceiling(lane.0);
+            let lost =
+                |l: &Lane| self.now - c.sent > LOST * l.overrun(c.kind.aim.get()) && l.good_at > c.sent;
+            self.f.lanes.get(lane).is_some_and(lost) && self.f.dests.get(&lane.0).is_some_and(full)
+        });
+        lost.map(|x| x.0 .1).next()
+    }
+
     /// When the first of a lane's calls is given no more time, and which.
     pub(crate) fn overdue_at(&self, l: &Lane) -> Option<(f64, u64)> {
         // Also of a lane that delivers: where connections fall silent, its lost calls would fill the slots.
@@ -1179,8 +1196,9 @@
         at(self.resting.next());
         at(self.wakes.next());
         at(self.late.next() + 1.0);
-        if self.calls.len() >= self.s.slots && self.called_off == 0 {
-            self.overdue.first().into_iter().for_each(|x| at(x.0 .0.get() + 1.0));
+        if self.called_off == 0 && self.backlogged.0 > 0 {
+            let soon = self.overdue.iter().take(OVERDUE).map(|x| x.0 .0.get() + 1.0);
+            soon.filter(|t| *t > self.now).take(1).for_each(&mut at);
         }
         if self.s.ask_discovery && !self.watching && !self.asked {
             at(self.ask_at);
--- a/crates/linenhall/tests/slots.rs
+++ b/crates/linenhall/tests/slots.rs
@@ -5,15 +5,29 @@
 use linenhall::*;
 use std::collections::BTreeMap;
 
+/// What a partner does with a call.
+#[derive(Clone, Copy)]
+enum Reply {
+    /// Delivers it after so many milliseconds.
+    After(f64),
+    /// Turns it away after 5 ms and tells this wait.
+    Wait(f64),
+    /// Never answers.
+    Never,
+}
+use Reply::*;
+
 /// A partner as these moments have it.
 #[derive(Clone, Copy)]
 struct Partner {
-    /// Time of a call.
-    took: f64,
     /// Messages a second.
     rate: f64,
-    /// It turns every call away and tells this wait; 0: it takes them.
-    wait: f64,
+    /// Replies to a call, by the time since the start in milliseconds and by its number.
+    reply: fn(f64, usize) -> Reply,
+}
+
+fn partner(rate: f64, reply: fn(f64, usize) -> Reply) -> Partner {
+    Partner { rate, reply }
 }
 
 /// How a partner's messages ended, those of the first second aside.
@@ -45,6 +59,7 @@
     let mut tries = BTreeMap::<u64, u32>::new();
     let mut owed = vec![0.0; partners.len()];
     let mut ends = vec![Ends::default(); partners.len()];
+    let mut calls = vec![0; partners.len()];
     let begin = rig.now;
     while rig.now < begin + ms {
         rig.now += 5.0;
@@ -78,12 +93,17 @@
             }
         }
         events.push(Event::Timer { token: 0 });
-        for (id, endpoint) in rig.give(&events) {
+        rig.give(&events);
+        for action in rig.last.clone() {
+            let Action::Send { id, endpoint, timeout_ms } = action else { continue };
             let dest: usize = endpoint[1..].parse().expect("endpoints are named after their destination");
-            let (attempt, p) = (tries.entry(id).or_default(), partners[dest]);
-            flying.push(match p.wait {
-                0.0 => (now + p.took, ended(id, *attempt, Outcome::Delivered, p.took)),
-                wait => (now + p.took, full(id, *attempt, wait)),
+            let attempt = tries.entry(id).or_default();
+            calls[dest] += 1;
+            let timeout = timeout_ms.unwrap_or(f64::MAX);
+            flying.push(match (partners[dest].reply)(now - begin, calls[dest]) {
+                After(took) if took < timeout => (now + took, ended(id, *attempt, Outcome::Delivered, took)),
+                Wait(wait) => (now + 5.0, full(id, *attempt, wait)),
+                After(_) | Never => (now + timeout, ended(id, *attempt, Outcome::TimedOut, timeout)),
             });
             *attempt += 1;
         }
@@ -106,11 +126,11 @@
 /// Two quick partners with much traffic, a slow one, and some whose queues wait for something else than slots.
 fn rush() -> Vec<Partner> {
     let mut partners = vec![
-        Partner { took: 35.0, rate: 150.0, wait: 0.0 },
-        Partner { took: 55.0, rate: 40.0, wait: 0.0 },
-        Partner { took: 900.0, rate: 8.0, wait: 0.0 },
+        partner(150.0, |_, _| After(35.0)),
+        partner(40.0, |_, _| After(55.0)),
+        partner(8.0, |_, _| After(900.0)),
     ];
-    partners.extend((0..5).map(|_| Partner { took: 5.0, rate: 3.0, wait: 1500.0 }));
+    partners.extend((0..5).map(|_| partner(3.0, |_, _| Wait(1500.0))));
     partners
 }
 
@@ -132,9 +152,55 @@
 /// With the hold full, what has lost its worth goes before what has just come.
 #[test]
 fn a_full_hold_lets_go_what_is_late_before_what_is_fresh() {
-    let partners = [Partner { took: 50.0, rate: 140.0, wait: 0.0 }];
+    let partners = [partner(140.0, |_, _| After(50.0))];
     let s = Settings { max_open: 120, slots: 4, ..operators() };
     let ends = play(s, &partners, |n| usize::from(n % 3 == 0), 12000.0);
     println!("{:.3} {ends:?}", share(&ends));
     assert!(share(&ends) >= 0.6 && ends[0].late < 20, "{}: {ends:?}", share(&ends));
 }
+
+/// Half of the partners slow at once, without errors: time-outs only. The others keep their service.
+#[test]
+fn half_of_the_partners_slow_at_once_do_not_take_the_slots_of_the_others() {
+    let slow = |ms, _| if (3000.0..8000.0).contains(&ms) { Never } else { After(60.0) };
+    let slower = |ms, _| if (3000.0..8000.0).contains(&ms) { After(1500.0) } else { After(60.0) };
+    let well = |_, _| After(60.0);
+    let partners: Vec<Partner> = [slow, slow, slower]
+        .map(|reply| partner(12.0, reply))
+        .into_iter()
+        .chain((0..3).map(|_| partner(20.0, well)))
+        .collect();
+    let ends = play(operators(), &partners, |n| usize::from(n % 3 == 0), 12000.0);
+    println!("{:.3}, the well ones {:.3} {ends:?}", share(&ends), share(&ends[3..]));
+    assert!(share(&ends[3..]) >= 0.98, "{}: {ends:?}", share(&ends[3..]));
+    assert!(share(&ends[..3]) >= 0.4, "{}: {ends:?}", share(&ends[..3]));
+}
+
+/// Connections of the busiest partner fall silent, one call in eight, while its others deliver: what was lost must not fill
+/// the slots.
+#[test]
+fn silent_connections_to_the_busiest_partner_leave_it_its_slots() {
+    let lossy = |_, n: usize| if n.is_multiple_of(8) { Never } else { After(40.0) };
+    let partners =
+        [partner(90.0, lossy), partner(20.0, |_, _| After(60.0)), partner(5.0, |_, _| After(300.0))];
+    let ends = play(operators(), &partners, |n| usize::from(n % 3 == 0), 12000.0);
+    println!("{:.3} {ends:?}", share(&ends));
+    assert!(share(&ends) >= 0.9, "{}: {ends:?}", share(&ends));
+}
+
+/// Partners deliver and then fall silent, one after the other, and come back.
+#[test]
+fn partners_that_deliver_and_then_fall_silent_cost_no_more_than_their_own() {
+    fn silent(from: f64) -> impl Fn(f64) -> Reply {
+        move |ms| if (from..from + 2000.0).contains(&ms) { Never } else { After(50.0) }
+    }
+    let partners = [
+        partner(40.0, |ms, _| silent(3000.0)(ms)),
+        partner(40.0, |ms, _| silent(6000.0)(ms)),
+        partner(30.0, |_, _| After(50.0)),
+    ];
+    let ends = play(operators(), &partners, |n| usize::from(n % 3 == 0), 14000.0);
+    println!("{:.3}, the well one {:.3} {ends:?}", share(&ends), share(&ends[2..]));
+    assert!(share(&ends[2..]) >= 0.98, "{}: {ends:?}", share(&ends[2..]));
+    assert!(share(&ends[..2]) >= 0.7, "{}: {ends:?}", share(&ends[..2]));
+}
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -3,7 +3,7 @@
 use linenhall::Outcome;
 use serde::{Deserialize, Serialize};
 
-/// Of these frames and of what they mean. 2 has [`ToNew::Learnt`]. A process that is asked speaks the version of the
+/// Of these frames and of what they mean. 2 has [`ToNew::Learnt`] and what follows it. A process that is asked speaks the version of the
 /// one that asks; one that asks tries [`FIRST_VERSION`] if this one is refused.
 pub const VERSION: u16 = 2;
 /// The oldest version that is spoken.
@@ -12,6 +12,8 @@
 pub const MOST_PARTS: usize = 1024;
 /// Rows in such a part at most, so that it fits a frame.
 pub const PART_ROWS: usize = 16;
+/// Hosts in a part of the list at most: names are short, but nobody says how short.
+pub const LIST_ROWS: usize = 64;
 /// The longest frame: a client's request that is not answered, or [`ROWS`] rows. A socket's buffer holds more.
 pub const MOST_FRAME: usize = 160 * 1024;
 /// Rows in one frame at most; a wait takes some 40 bytes and a name.
@@ -61,6 +63,15 @@
     Ended(Ended),
     /// A part of what it has learnt, as JSON: versions may differ in what they learn. Before [`ToNew::Ready`].
     Learnt(String),
+    /// A part of the list of hosts as it has it, as JSON, and the agent that told it: with discovery silent the new process
+    /// would know less, and send to hosts of which the old one had heard that they drain. From version 2 on, before
+    /// [`ToNew::Ready`].
+    List {
+        /// The agent's address.
+        agent: String,
+        /// Some of the hosts.
+        part: String,
+    },
     /// A connection to a host that stands idle. With the connection. From version 2 on, after [`ToNew::Go`].
     Host {
         /// The host's name in the list.
--- a/crates/takeover/src/protocol.rs
+++ b/crates/takeover/src/protocol.rs
@@ -89,6 +89,8 @@
     pub waits: Vec<(u64, String, f64)>,
     /// What it has learnt, see [`ToNew::Learnt`].
     pub learnt: Vec<String>,
+    /// The list, by the agent that told it: see [`ToNew::List`].
+    pub list: Vec<(String, String)>,
     /// Clients are being sent elsewhere.
     pub drained: bool,
 }
@@ -129,6 +131,10 @@
                 self.offer.learnt.push(part);
                 NewStep::Wait
             }
+            Some(ToNew::List { agent, part }) if !self.ready && self.offer.list.len() < MOST_PARTS => {
+                self.offer.list.push((agent, part));
+                NewStep::Wait
+            }
             Some(ToNew::Ready { drained }) if !self.ready => {
                 (self.ready, self.offer.drained) = (true, drained);
                 NewStep::Open
@@ -164,9 +170,12 @@
         assert_eq!(new.on(Some(ToNew::Out(vec![(2, 3)]))), NewStep::Wait);
         assert_eq!(new.on(Some(ToNew::Waits(vec![(5, String::new(), 9.0)]))), NewStep::Wait);
         assert_eq!(new.on(Some(ToNew::Learnt("{}".into()))), NewStep::Wait);
+        let list = ToNew::List { agent: "a".into(), part: "[]".into() };
+        assert_eq!(new.on(Some(list)), NewStep::Wait);
         assert_eq!(new.on(Some(ToNew::Ready { drained: true })), NewStep::Open);
         let (waits, learnt) = (vec![(5, String::new(), 9.0)], vec!["{}".into()]);
-        let offer = Offer { out: vec![(1, 0), (2, 3)], waits, learnt, drained: true };
+        let list = vec![("a".into(), "[]".into())];
+        let offer = Offer { out: vec![(1, 0), (2, 3)], waits, learnt, list, drained: true };
         assert_eq!(new.on(Some(ToNew::Go)), NewStep::Serve(offer));
     }
 
