Parts of what was learnt fit a frame also with every lane's sends at their bound

Found in reading the change: 16 lanes of 256 sends at up to 50 bytes are 200 KB, a frame holds 160 KB; then the old process would have broken the takeover off each time. Eight rows a part are 100 KB.

--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -10,8 +10,8 @@
 pub const FIRST_VERSION: u16 = 1;
 /// Parts of what was learnt that are taken: some ten thousand lanes.
 pub const MOST_PARTS: usize = 1024;
-/// Rows in such a part at most, so that it fits a frame.
-pub const PART_ROWS: usize = 16;
+/// Rows in such a part at most, so that it fits a frame: a lane tells up to 256 sends of some 50 bytes at most.
+pub const PART_ROWS: usize = 8;
 /// Hosts in a part of the list at most: names are short, but nobody says how short.
 pub const LIST_ROWS: usize = 64;
 /// The longest frame: a client's request that is not answered, or [`ROWS`] rows. A socket's buffer holds more.
