Among equal endpoints each relay has an order of its own, not that of names

Among endpoints that cost the same the order of names decided, in every relay alike. The first endpoint refused with its queue full while x0 told 0.9 to 1.0 of the limit left (703 full there, none at the other), and refusals cut paces. Harmless with one relay, as its own calls out move it on. Change (choices, in logic.rs): the last tie goes by a hash of the relay's seed and the endpoint's name. Also: a timer could be asked for 1e-10 ms ahead. A caller whose clock rounds it away was woken at the same moment forever; a simulated world of the engine's tests hung on it. Timers are now 0.01 ms ahead at least. On real clocks it cost some spins.

--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -45,6 +45,7 @@
 const LOST: f64 = 2.0; // of the time after which a call outruns its latency: so long it may just be slow
 const TIES: usize = 3; // looks among equal credits for whose message is the oldest
 const ENDS: (usize, f64) = (512, 4.0); // messages that end in one round at most; time for such a round
+const LEAST_TIMER: f64 = 0.01; // ms
 const LEAST: (usize, usize) = (16, 4); // holds weighed anew when one must go: the least, the longest ago
 
 impl Lane {
@@ -66,6 +67,15 @@
     }
 }
 
+/// A number for the name, another one for each salt: FNV-1a over both, mixed as SplitMix64 ends.
+fn spread(salt: u64, name: &str) -> u64 {
+    let bytes = salt.to_le_bytes().into_iter().chain(name.bytes());
+    let hash =
+        bytes.fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash ^ (hash >> 27)
+}
+
 /// Time-outs: generous, as the work runs on; none for what could not be tried again.
 fn time_out(now: f64, l: &Lane, c: &Class, due: f64) -> Option<f64> {
     let base = l.overrun(c.aim_ms);
@@ -80,6 +90,7 @@
 pub struct Relay {
     pub(crate) s: Settings,
     rng: fastrand::Rng,
+    salt: u64,
     pub(crate) now: f64,
     seq: u64,
     pub(crate) msgs: Table<u64, Msg>,
@@ -134,7 +145,7 @@
         let tenants = s.tenant_rates.iter().map(|_| Meter::new(SOON_MS)).collect();
         let (rng, all) = (fastrand::Rng::with_seed(seed), Meter::new(LONG_MS));
         let (credits, tenants_total) = (Credits::new(CREDIT_CAP), s.tenant_rates.iter().sum());
-        let relay = Relay { rng, tenants, all, credits, tenants_total, s, ..Relay::default() };
+        let relay = Relay { rng, salt: seed, tenants, all, credits, tenants_total, s, ..Relay::default() };
         Relay { ask_wait: ASK_MS.0, armed: f64::MAX, ..relay }
     }
 
@@ -948,7 +959,9 @@
                 + if idle { 0.0 } else { self.s.handshake_cost }
                 + fee.unwrap_or(&0.0);
             let load = h.out as f64 * 0.02;
-            found.push((h.shun_until > self.now, cost + load, h.out, name, trial));
+            // Among equals each relay has its own order: in that of names all would crowd the first.
+            let rank = (h.out, spread(self.salt, name));
+            found.push((h.shun_until > self.now, cost + load, rank, name, trial));
         }
         found.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)).then(a.3.cmp(b.3)));
         found.into_iter().map(|f| (f.3.clone(), f.4)).collect()
@@ -1189,7 +1202,9 @@
     /// Sets one timer, for the next moment at which time alone changes something.
     fn arm(&mut self, out: &mut Vec<Action>) {
         let mut next = f64::MAX;
-        let mut at = |t: f64| next = if t > self.now { next.min(t) } else { next };
+        // No nearer than a coarse clock rounds to: it would come at the same moment forever.
+        let soonest = self.now + LEAST_TIMER;
+        let mut at = |t: f64| next = if t > self.now { next.min(t.max(soonest)) } else { next };
         if self.ends.len() > 0 {
             at((self.ends.next() - self.horizon()).max(self.now + 1.0));
         }
--- a/crates/linenhall/tests/common/mod.rs
+++ b/crates/linenhall/tests/common/mod.rs
@@ -60,7 +60,11 @@
     }
 
     pub fn listed(settings: Settings, list: Vec<Endpoint>) -> Rig {
-        let mut rig = Rig { relay: Relay::new(settings, 7), now: 1000.0, last: Vec::new(), next: 0 };
+        Rig::seeded(settings, list, 7)
+    }
+
+    pub fn seeded(settings: Settings, list: Vec<Endpoint>, seed: u64) -> Rig {
+        let mut rig = Rig { relay: Relay::new(settings, seed), now: 1000.0, last: Vec::new(), next: 0 };
         rig.give(&[Event::Discovery(Discovery::Cached(list))]);
         rig
     }
