Among many relays a lane's pace is the even part of its told limit from the first answer

Counted over the fleet in its logs: a partner that takes 24 calls a second was sent 28 to 56 in a second after a clump, and delivered 0 for three seconds, as refused calls use the limit up; then its relays, cut to 0.009 a second each (slow), sent it 1 to 8 a second for 20 seconds while it told that all of its limit was left. Each relay has a message for it every four seconds: it can't learn in time what all of them together do. What is known at once is the limit (x1), and that 100 relays share it. Change (report, learn, slow in logic.rs; from 8 relays on and where a limit is told, else all is as before): the pace is this relay's even part from the first answer on, and moves with the told limit; it rises by 0.05 of the part for a delivery that tells that 0.85 is left, falls at under 0.3, and is cut to 0.9 of the part by a refusal. After a refusal the lane is quiet for 0.8 to 1.5 s, longer in a row, and its bucket empties by a random amount: with equal ones the relays that were refused together came back together, 41 calls in 0.3 s to a partner of 8 a second. Refusals in a row are no outage there: shutting for them set ramps that lost 1,168 messages.

--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -61,6 +61,11 @@
 pub struct Lane {
     pub wait_until: f64,
     pub told: Option<f64>,
+    /// The share of the limit that was left when last told.
+    pub left: f64,
+    /// After a refusal, where many relays share the limit: nothing goes out until then.
+    pub quiet_until: f64,
+    pub crowd: bool,
     pub pace: Option<f64>,
     pub tokens: f64,
     pub filled: f64,
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -33,6 +33,10 @@
 const CUT_MS: f64 = 500.0; // refusals within this time count as one
 const GAIN: (f64, f64) = (0.03, 0.3); // of the pace, for each delivery; when sparse
 const GROW: f64 = 1.25; // a pace grows up to this multiple of what was delivered of late
+const SHARE: (f64, f64, f64) = (0.9, 1.0, 8.0); // of the even part of a told limit: pace, least, first, most
+const RISE: (f64, f64) = (0.05, 0.8); // of that part, for a delivery with much left of the limit; with less
+const LEFT: (f64, f64) = (0.85, 0.3); // of the limit that is left: much, little
+const QUIET_MS: (f64, f64) = (800.0, 1500.0); // after a refusal in a crowd: the first in a row, at most
 const BURST_MS: f64 = 300.0; // what the bucket holds, at the pace: those of all relays fit a short queue
 const SHOWN_MARGIN: f64 = 0.65; // of what a returning destination delivers just now, taken for its capacity
 const SOON_MS: f64 = 2000.0; // the short memory for rates
@@ -60,7 +64,7 @@
     fn refill(&mut self, now: f64) {
         // With no pace set the bucket stays full: sends must not run up a debt that a later pace would pay.
         self.tokens = self.pace.map_or(1.0, |pace| {
-            let most = (pace * BURST_MS / 1000.0).max(1.0);
+            let most = (pace * BURST_MS / 1000.0).max(if self.crowd { 1.3 } else { 1.0 });
             (self.tokens + pace * (now - self.filled).max(0.0) / 1000.0).min(most)
         });
         self.filled = now;
@@ -249,7 +253,7 @@
     /// When the lane may take a call: now, or at a later time (`f64::MAX`: not before something happens).
     pub(crate) fn gate(&self, id: &LaneId) -> f64 {
         let Some(l) = self.f.lanes.get(id) else { return self.now };
-        let mut at = l.wait_until;
+        let mut at = l.wait_until.max(l.quiet_until);
         match l.phase {
             Phase::Out if l.trial_out => return f64::MAX,
             Phase::Out => return at.max(l.trial_at),
@@ -333,7 +337,7 @@
         let &Seen { lane: id, host, outcome: o, took, wait, trial } = seen;
         let now = self.now;
         let part = self.f.lanes.get(id).and_then(|l| self.part(l));
-        let (first, few) = self.paces();
+        let ((first, few), crowd) = (self.paces(), self.s.relays as f64 >= CROWD);
         let Some(l) = self.f.lanes.get_mut(id) else { return };
         l.trial_out &= !trial;
         // A wait is told by a refusal, or by an answer that shows nothing else for certain.
@@ -357,11 +361,17 @@
                 // guards against a limit that falls. It could do harm where a rush begins after a refusal and
                 // no limit is told: then it takes some seconds to find what may be sent.
                 let proved = (GROW * l.soon.rate(now)).max(part.unwrap_or(0.0)).max(first);
-                if let Some(pace) = l.pace.as_mut().filter(|pace| **pace < proved) {
+                if let Some(part) = part.filter(|_| crowd) {
+                    l.pace = l.pace.map(|pace| match l.left {
+                        left if left > LEFT.0 => (pace + RISE.0 * part).min(SHARE.2 * part),
+                        left if left < LEFT.1 => (pace * RISE.1).max(SHARE.0 * part),
+                        _ => pace,
+                    });
+                } else if let Some(pace) = l.pace.as_mut().filter(|pace| **pace < proved) {
                     let gain = if *pace > few { GAIN.0 } else { GAIN.1 };
                     *pace = (*pace + gain * part.unwrap_or(*pace).max(*pace)).min(proved);
                 }
-                l.pace = l.pace.filter(|_| now - l.cut_at <= LONG_MS);
+                l.pace = l.pace.filter(|_| crowd || now - l.cut_at <= LONG_MS);
                 if let Some(h) = self.f.hosts.get_mut(host) {
                     (h.fails, h.shun_until) = (0, 0.0);
                 }
@@ -378,7 +388,10 @@
                 l.unproved = false;
                 l.full_since = if l.fulls == 0 { now } else { l.full_since };
                 l.fulls += 1;
-                let again = l.fulls >= SHUT_FULLS && now - l.full_since > SHUT_MS || l.phase == Phase::Out;
+                // Among many relays a run of refusals is the rush of all, where the answers tell a limit.
+                let lone = !crowd || part.is_none();
+                let again = lone && l.fulls >= SHUT_FULLS && now - l.full_since > SHUT_MS;
+                let again = again || l.phase == Phase::Out;
                 let once = l.fulls < 2;
                 self.slow(id, wait > 0.0 && once);
                 if again {
@@ -425,7 +438,18 @@
     fn slow(&mut self, id: &LaneId, told: bool) {
         let (now, random, (first, few)) = (self.now, self.rng.f64(), self.paces());
         let part = self.f.lanes.get(id).and_then(|l| self.part(l)).unwrap_or(0.0);
+        let crowd = part > 0.0 && self.s.relays as f64 >= CROWD;
         let Some(l) = self.f.lanes.get_mut(id) else { return };
+        if crowd {
+            let had = l.pace.unwrap_or(part) * if now - l.cut_at > CUT_MS { 0.5 } else { 1.0 };
+            l.pace = Some(had.clamp(SHARE.0 * part, SHARE.1 * part));
+            l.cut_at = now;
+            let quiet = QUIET_MS.0 + (QUIET_MS.1 - QUIET_MS.0) * random;
+            l.quiet_until = l.wait_until.max(now) + quiet * 1.5f64.powf(f64::from(l.fulls.clamp(1, 4)) - 1.0);
+            l.refill(now);
+            l.tokens = l.tokens.min(0.5) - self.rng.f64();
+            return;
+        }
         if now - l.cut_at > CUT_MS {
             // A limit that has fallen shows in what is delivered and told: the cut starts from there.
             let proved = (GROW * l.soon.rate(now)).max(part).max(first);
@@ -443,7 +467,18 @@
 
     fn report(&mut self, id: &LaneId, report: &[f64]) {
         let limit = self.s.limit_column.and_then(|c| report.get(c)).filter(|x| x.is_finite() && **x > 0.0);
-        self.f.lanes.get_mut(id).into_iter().for_each(|l| l.told = limit.copied().or(l.told));
+        let left = self.s.left_column.and_then(|c| report.get(c)).filter(|x| x.is_finite());
+        self.f.lanes.get_mut(id).into_iter().for_each(|l| {
+            if let Some(limit) = limit.filter(|_| self.s.relays as f64 >= CROWD) {
+                let part = limit / self.s.relays as f64;
+                let had =
+                    l.pace.zip(l.told).map_or(SHARE.1, |(pace, told)| pace / told * self.s.relays as f64);
+                l.pace = Some(had * part);
+                l.crowd = true;
+            }
+            l.told = limit.copied().or(l.told);
+            l.left = left.copied().unwrap_or(l.left);
+        });
     }
 
     fn probed(&mut self, host: &str, o: Outcome, report: &[f64], out: &mut Vec<Action>) {
--- a/crates/linenhall/tests/crowd.rs
+++ b/crates/linenhall/tests/crowd.rs
@@ -25,3 +25,114 @@
     }
     assert!(got.len() == 3 && got.values().all(|n| (20..=46).contains(n)), "of 99 calls: {got:?}");
 }
+
+/// A partner that takes `limit` calls a second from all relays, some of them at once; calls that it turns away use
+/// its limit up like others. What it tells of what is left is up to half a second old.
+struct Partner {
+    limit: f64,
+    tokens: f64,
+    at: f64,
+    told: (f64, f64),
+}
+
+impl Partner {
+    fn new(limit: f64) -> Partner {
+        Partner { limit, tokens: limit * 0.4, at: 0.0, told: (0.0, 1.0) }
+    }
+
+    /// Whether a call is taken, and the report that goes with the answer.
+    fn call(&mut self, now: f64) -> (bool, Vec<f64>) {
+        let most = self.limit * 0.4;
+        self.tokens = (self.tokens + self.limit * (now - self.at) / 1000.0).min(most);
+        self.at = now;
+        if now - self.told.0 > 500.0 {
+            self.told = (now, (self.tokens / most).max(0.0));
+        }
+        let taken = self.tokens >= 1.0;
+        self.tokens -= 1.0;
+        (taken, vec![self.told.1, self.limit])
+    }
+}
+
+#[derive(Debug, Default)]
+struct Sum {
+    asked: usize,
+    taken: usize,
+    turned_away: usize,
+}
+
+/// A hundred relays and one partner for 30 s: messages come to each relay by chance, and every 5 s a second and a half
+/// of the limit comes in 0.3 s.
+fn play(limit: f64, load: f64, seed: u64) -> Sum {
+    use std::collections::BTreeMap;
+    let told =
+        linenhall::Settings { left_column: Some(0), limit_column: Some(1), max_open: 34, ..settings() };
+    let settings = linenhall::Settings { relays: 100, slots: 6, ..told };
+    let mut relays: Vec<Rig> =
+        (0..100).map(|n| Rig::seeded(settings.clone(), vec![endpoint("a", 0)], seed + n)).collect();
+    let (mut random, mut partner) = (fastrand::Rng::with_seed(seed), Partner::new(limit));
+    let mut due: BTreeMap<(u64, u64), (usize, Option<linenhall::Event>)> = BTreeMap::new();
+    let (mut sum, mut n, mut at) = (Sum::default(), 0, 0.0);
+    while at < 30000.0 {
+        at += -(1.0 - random.f64()).ln() * 1000.0 / (limit * load);
+        due.insert(((at * 1000.0) as u64, n), (random.usize(..100), None));
+        n += 1;
+    }
+    for clump in 1..6 {
+        for _ in 0..(limit * 1.5 * load) as usize {
+            let at = 5000.0 * f64::from(clump) + 300.0 * random.f64();
+            due.insert(((at * 1000.0) as u64, n), (random.usize(..100), None));
+            n += 1;
+        }
+    }
+    sum.asked = n as usize;
+    let mut tries: BTreeMap<(usize, u64), u32> = BTreeMap::new();
+    while let Some(((at, _), (relay, event))) = due.pop_first() {
+        let rig = &mut relays[relay];
+        rig.now = at as f64 / 1000.0;
+        let event = event.unwrap_or_else(|| rig.request(SAFE, 0).1);
+        rig.give(&[event]);
+        for action in rig.last.clone() {
+            let (after, event) = match action {
+                linenhall::Action::Send { id, .. } => {
+                    let (taken, report) = partner.call(rig.now);
+                    sum.taken += usize::from(taken);
+                    sum.turned_away += usize::from(!taken);
+                    let attempt = *tries.entry((relay, id)).and_modify(|n| *n += 1).or_insert(0);
+                    let outcome =
+                        if taken { linenhall::Outcome::Delivered } else { linenhall::Outcome::Full };
+                    let (took_ms, wait_ms) = (40.0, 0.0);
+                    let end = linenhall::Event::Ended {
+                        id,
+                        attempt,
+                        outcome,
+                        took_ms,
+                        settled: taken,
+                        wait_ms,
+                        report,
+                    };
+                    (took_ms, end)
+                }
+                linenhall::Action::Timer { at, token } => (at - rig.now, linenhall::Event::Timer { token }),
+                _ => continue,
+            };
+            n += 1;
+            due.insert((((rig.now + after) * 1000.0).ceil() as u64, n), (relay, Some(event)));
+        }
+    }
+    sum
+}
+
+/// Each relay has a message for the partner every few seconds: what it learns by its own refusals comes too late, and
+/// all that it was told of is the partner's limit. That is what all of them have to share.
+#[test]
+fn a_limit_shared_by_a_hundred_relays_is_used_and_not_used_up_by_refusals() {
+    for (limit, load, least) in [(24.0, 0.6, 0.8), (24.0, 0.9, 0.6), (80.0, 0.9, 0.7)] {
+        let sums: Vec<Sum> = (0..3).map(|n| play(limit, load, 1000 * n)).collect();
+        let all = |f: fn(&Sum) -> usize| sums.iter().map(f).sum::<usize>() as f64;
+        let (asked, taken, away) = (all(|s| s.asked), all(|s| s.taken), all(|s| s.turned_away));
+        println!("{limit} {load}: {:.3} taken, {:.3} turned away", taken / asked, away / asked);
+        assert!(taken / asked >= least, "limit {limit}, load {load}: {sums:?}");
+        assert!(away / asked <= 0.3, "limit {limit}, load {load}: {sums:?}");
+    }
+}
