Among many relays calls for the list are waited for, repeated seldom, and spread

Cause: each relay fetches the whole list at its start, then watches: two calls; it gives up an answer after 1 s and asks anew 0.05 to 1 s later (GRACE, RETRY_MS in http/discovery.rs; FIRST_LIST in daemon/serve.rs, whose call was dropped after 0.4 s). One relay costs nothing by that. A hundred keep discovery overbooked for good: it takes one call from each in 2 to 8 s. Change, from 8 relays on: the watch alone, from the version that the configuration knows; its first call at a random time within 4 s; 6 s of patience; 2 to 16 s between failed calls, at random. For all: a first call that is late goes on instead of being asked anew. Test: tests/relay.rs, a discovery that is late for 2.5 s hears one call, a watch; four, none a watch, before.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -82,9 +82,20 @@
     let handle = queue.0.clone();
     // What discovery's agent has counts as told: a host that has left meanwhile must not be sent to. Asked before the
     // folder is opened: a process that is taken over from stands still until that is over.
-    let mut agent = Discovery::new(config.discovery);
-    let first = tokio::time::timeout(FIRST_LIST, agent.ask(None)).await;
-    let first = first.map_err(|_| "no answer in time".to_string()).and_then(|list| list);
+    let mut agent = Discovery::new(config.discovery, config.settings.relays);
+    let start = agent.start_after(config.known.index);
+    let spread = agent.spread();
+    let mut asking = Box::pin(async move {
+        tokio::time::sleep(spread).await;
+        let first = agent.ask(start).await;
+        (agent, first)
+    });
+    // A call that is late goes on: asked anew it would cost discovery twice.
+    let wait = if start.is_some() { Duration::ZERO } else { FIRST_LIST };
+    let (agent, first) = match tokio::time::timeout(wait, &mut asking).await {
+        Ok((agent, first)) => (Some(agent), first),
+        Err(_) => (None, Err("no answer in time".to_string())),
+    };
     let first = first.inspect_err(|e| log(&format!("first list: {e}; starting from the known one")));
 
     let opened = takeover::open(&config.state, config.disk_bytes).await;
@@ -111,7 +122,23 @@
     let (moved, place) = watch::channel(config.discovery);
     spawn_local(run_notices(place.clone(), notices_inbox, handle.clone()));
     let news = handle.clone();
-    spawn_local(agent.watch(index, place.clone(), move |list: List| news.list(list)));
+    let (watched, mut index) = (place.clone(), index.or(start));
+    spawn_local(async move {
+        let agent = match agent {
+            Some(agent) => agent,
+            None => {
+                let (agent, first) = asking.await;
+                if let Ok(list) = first {
+                    index = Some(list.index);
+                    if !news.list(list) {
+                        return;
+                    }
+                }
+                agent
+            }
+        };
+        agent.watch(index, watched, move |list: List| news.list(list)).await;
+    });
     let file = config.file;
     spawn_local(async move {
         while reload.recv().await.is_some() {
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -909,3 +909,24 @@
     let at_once = rush_after(twice, &["full"]);
     assert!(at_once <= PACED, "{at_once} at once");
 }
+
+/// A hundred relays that ask anew for what is only late keep discovery busy for good: none of them ever had a list.
+#[test]
+fn among_many_relays_a_call_for_the_list_that_is_late_is_waited_for() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("h", 1, &host)]);
+    agent.set_down(true);
+    let mut config = config(agent.address);
+    config["settings"]["Balancers"] = json!(100);
+    let relay = Relay::with(program!(), config, &agent);
+    until("a call", || (agent.calls() > 0).then_some(()));
+    std::thread::sleep(Duration::from_millis(2500));
+    assert_eq!(
+        (agent.calls(), agent.watches()),
+        (1, 1),
+        "one call, and that a watch, which tells what was missed"
+    );
+    agent.set_down(false);
+    relay.take_once_listed("safe", "m", 1);
+    until("a delivery", || host.delivered("m").then_some(()));
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -224,6 +224,8 @@
     notice_replies: Vec<u16>,
     down: bool,
     watches: usize,
+    /// Calls for the list, watches too.
+    calls: usize,
 }
 
 /// Discovery's agent.
@@ -273,6 +275,11 @@
         self.told.lock().unwrap().watches
     }
 
+    /// Calls for the list, watches too.
+    pub fn calls(&self) -> usize {
+        self.told.lock().unwrap().calls
+    }
+
     pub fn notices_of(&self, id: &str) -> Vec<Value> {
         self.told.lock().unwrap().notices.iter().filter(|n| n["id"] == id).cloned().collect()
     }
@@ -304,7 +311,11 @@
                 let after: Option<u64> =
                     heard.line.split("after=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
                 let start = Instant::now();
-                self.told.lock().unwrap().watches += usize::from(after.is_some());
+                {
+                    let mut told = self.told.lock().unwrap();
+                    told.calls += 1;
+                    told.watches += usize::from(after.is_some());
+                }
                 loop {
                     let told = self.told.lock().unwrap();
                     let news = after.is_none_or(|a| told.index > a) || start.elapsed().as_secs() >= 4;
--- a/crates/tower/src/builder.rs
+++ b/crates/tower/src/builder.rs
@@ -240,7 +240,7 @@
                 if let Some((agent, names)) = discovery {
                     let (_stays, place) = watch::channel(agent);
                     let told = move |list: List| news.list(News::of(&list, &names));
-                    tokio::task::spawn_local(Discovery::new(agent).watch(None, place, told));
+                    tokio::task::spawn_local(Discovery::new(agent, 1).watch(None, place, told));
                 }
                 relay.run().await;
             });
