An endpoint that refuses while much of the limit is left is avoided for 3 s

So it was not its limit, but its new machine, cold and with its queue full; a refusal cut the lane's pace and each relay kept to the endpoint that is first in its order (choices), though another was there. Change (learn, Outcome::Full): from 8 relays on, refused with more than 0.85 of the limit left, the endpoint is shunned for 1.5 to 4.5 s; it is still called where there is no other.

--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -36,6 +36,7 @@
 const SHARE: (f64, f64, f64) = (0.9, 1.0, 8.0); // of the even part of a told limit: pace, least, first, most
 const RISE: (f64, f64) = (0.05, 0.8); // of that part, for a delivery with much left of the limit; with less
 const LEFT: (f64, f64) = (0.85, 0.3); // of the limit that is left: much, little
+const SHUN_MS: f64 = 3000.0; // in the mean, of an endpoint that refuses while much of the limit is left
 const QUIET_MS: (f64, f64) = (800.0, 1500.0); // after a refusal in a crowd: the first in a row, at most
 const BURST_MS: f64 = 300.0; // what the bucket holds, at the pace: those of all relays fit a short queue
 const SHOWN_MARGIN: f64 = 0.65; // of what a returning destination delivers just now, taken for its capacity
@@ -393,6 +394,11 @@
                 let again = lone && l.fulls >= SHUT_FULLS && now - l.full_since > SHUT_MS;
                 let again = again || l.phase == Phase::Out;
                 let once = l.fulls < 2;
+                // Turned away with much of the limit left: the endpoint is full or cold, another may not be.
+                let shun = now + SHUN_MS * (0.5 + self.rng.f64());
+                if let Some(h) = self.f.hosts.get_mut(host).filter(|_| crowd && l.left > LEFT.0) {
+                    h.shun_until = h.shun_until.max(shun);
+                }
                 self.slow(id, wait > 0.0 && once);
                 if again {
                     self.shut(id, "refuses everything", None, out);
--- a/crates/linenhall/tests/crowd.rs
+++ b/crates/linenhall/tests/crowd.rs
@@ -136,3 +136,27 @@
         assert!(away / asked <= 0.3, "limit {limit}, load {load}: {sums:?}");
     }
 }
+
+/// A queue that is full, or a machine that is new and cold, is the endpoint's own; a limit is the destination's.
+#[test]
+fn an_endpoint_that_refuses_with_much_of_the_limit_left_is_left_for_another() {
+    let told = linenhall::Settings { left_column: Some(0), limit_column: Some(1), ..settings() };
+    let settings = linenhall::Settings { relays: 100, ..told };
+    for (left, another) in [(0.95, true), (0.1, false)] {
+        let list = vec![endpoint("a", 0), endpoint("b", 0)];
+        let mut rig = Rig::seeded(settings.clone(), list, 3);
+        let (id, event) = rig.request(SAFE, 0);
+        let first = rig.give(&[event])[0].1.clone();
+        let outcome = linenhall::Outcome::Full;
+        let report = vec![left, 1000.0];
+        let (attempt, took_ms, settled, wait_ms) = (0, 20.0, false, 0.0);
+        let refused = linenhall::Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report };
+        assert!(rig.give(&[refused]).is_empty(), "quiet after a refusal");
+        let mut next = Vec::new();
+        for _ in 0..100 {
+            next = if next.is_empty() { rig.wait(20.0) } else { next };
+        }
+        assert_eq!(next.iter().any(|s| s.1 != first), another, "{left} left: {next:?}, first {first}");
+        assert_eq!(next.len(), 1);
+    }
+}
