--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -96,7 +96,12 @@
         Ok((agent, first)) => (Some(agent), first),
         Err(_) => (None, Err("no answer in time".to_string())),
     };
-    let first = first.inspect_err(|e| log(&format!("first list: {e}; starting from the known one")));
+    // Where nothing is waited for, nothing is late.
+    let first = first.inspect_err(|e| {
+        if start.is_none() {
+            log(&format!("first list: {e}; starting from the known one"));
+        }
+    });
 
     let opened = takeover::open(&config.state, config.disk_bytes).await;
     let (journal, left, taken) = opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
--- a/crates/linenhall/src/view.rs
+++ b/crates/linenhall/src/view.rs
@@ -113,7 +113,7 @@
     match l.phase {
         _ if l.wait_until > now => Bound::Wait,
         Phase::Out => Bound::Trial,
-        _ if l.pace.is_some_and(|pace| tokens(pace) < 1.0) => Bound::Pace,
+        _ if l.quiet_until > now || l.pace.is_some_and(|pace| tokens(pace) < 1.0) => Bound::Pace,
         _ => Bound::Ramp,
     }
 }
