In a crowd a destination that is out is tried every second, not every two

One relay finds the return at once, the others only by a trial of their own, and the time between these had a floor of 2 s. Change (logic.rs, shut): a floor of 1 s from 8 relays on. In sum 100 trials a second, under what a partner of that size bears cold; those that take fewer keep longer gaps, as before.

--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -27,6 +27,7 @@
 const SHUT_FULLS: u32 = 5; // refusals in a row, over SHUT_MS, that mean shut and not just over the limit
 const SHUT_MS: f64 = 2000.0;
 const TRIAL_MS: (f64, f64, f64, f64) = (500.0, 2000.0, 4000.0, 30000.0); // between trials: dense; sparse
+const TRIAL_CROWD_MS: f64 = 1000.0; // in place of the least time for sparse ones, in a crowd
 const RAMP_MS: f64 = 25.0; // between looks at a ramping lane with something held
 const CROWD: f64 = 8.0; // from so many relays on a relay's own calls are few of all
 const CUT: (f64, f64) = (0.85, 0.15); // of the pace, at a refusal; when sparse
@@ -288,7 +289,9 @@
         // Trials use up the limit, or push over what returns: who calls seldom tries seldom.
         let (gap, crowd) = (1000.0 / l.before.max(1e-9), self.s.relays as f64);
         let least = gap.clamp(TRIAL_MS.0, (TRIAL_MS.0 * crowd).min(TRIAL_MS.2));
-        let most = (2.0 * gap).clamp(TRIAL_MS.1, (TRIAL_MS.0 * crowd).clamp(TRIAL_MS.1, TRIAL_MS.3));
+        // In a crowd some relay finds a return at once, but each hears of it by its own trial alone.
+        let floor = if crowd >= CROWD { TRIAL_CROWD_MS } else { TRIAL_MS.1 };
+        let most = (2.0 * gap).clamp(floor, (TRIAL_MS.0 * crowd).clamp(floor, TRIAL_MS.3));
         let wait = l.backoff.max(least).min(most);
         // A destination that answers with errors is there, and some of what it is sent may well be delivered:
         // trials go as fast as it bears when it comes back cold, and find its return at once. It also guards
--- a/crates/linenhall/tests/crowd.rs
+++ b/crates/linenhall/tests/crowd.rs
@@ -202,3 +202,40 @@
         assert_eq!(sent.len(), most, "{relays} relays");
     }
 }
+
+/// Each relay hears of a return by a trial of its own alone: one that goes there often must not wait for seconds.
+#[test]
+fn in_a_crowd_a_destination_that_is_out_is_tried_about_every_second() {
+    let settings = linenhall::Settings { relays: 100, slots: 8, max_open: 100, ..told() };
+    let mut rig = Rig::seeded(settings, vec![endpoint("a", 0)], 3);
+    // Well and often used for a while, at a part of three calls a second.
+    for _ in 0..60 {
+        let (id, event) = rig.request(SAFE, 0);
+        let mut sent = rig.give(&[event]);
+        while sent.is_empty() {
+            sent = rig.wait(10.0);
+        }
+        assert_eq!(sent[0].0, id);
+        let (outcome, took_ms, settled, wait_ms) = (linenhall::Outcome::Delivered, 20.0, true, 0.0);
+        let report = vec![0.5, 300.0];
+        rig.give(&[linenhall::Event::Ended { id, attempt: 0, outcome, took_ms, settled, wait_ms, report }]);
+        rig.now += 300.0;
+    }
+    let events: Vec<_> = (0..80).map(|_| rig.request(SAFE, 0).1).collect();
+    let mut sent = rig.give(&events);
+    let (start, mut times) = (rig.now, Vec::new());
+    let mut tries = std::collections::BTreeMap::new();
+    while rig.now < start + 9000.0 {
+        let failed: Vec<_> = sent.drain(..).map(|(id, _)| id).collect();
+        for id in failed {
+            times.push(rig.now);
+            let attempt: &mut u32 = tries.entry(id).or_default();
+            sent.extend(rig.end(id, *attempt, linenhall::Outcome::NoConnection, 5.0));
+            *attempt += 1;
+        }
+        sent.extend(rig.wait(10.0));
+    }
+    let late: Vec<f64> = times.windows(2).filter(|w| w[0] > start + 4000.0).map(|w| w[1] - w[0]).collect();
+    let longest = late.iter().copied().fold(0.0, f64::max);
+    assert!(late.len() >= 3 && longest <= 1400.0, "{longest} ms between trials: {late:?}");
+}
