Partners that tell no limit are not held to one call; a risen pace outlasts a takeover

Tests: crowd.rs, a partner without a limit, and a pace above the even part over a takeover; neither held before this commit.

--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -66,8 +66,6 @@
     /// After a refusal, where many relays share the limit: nothing goes out until then.
     pub quiet_until: f64,
     pub crowd: bool,
-    /// The even part of the limit that was told last, among many relays.
-    pub part: Option<f64>,
     /// In what share of its time of late something was held, as of then.
     pub busy: f64,
     pub heard_at: f64,
--- a/crates/linenhall/src/limits.rs
+++ b/crates/linenhall/src/limits.rs
@@ -13,11 +13,10 @@
 const LEFT: (f64, f64) = (0.7, 0.15);
 /// How long it is remembered how often this lane had something held.
 const BUSY_MS: f64 = 4000.0;
-/// After a refusal nothing goes out for a time between these; for so many times it from the second in a row
-/// on.
+/// After a refusal nothing goes out for a time between these; so many times it from the second in a row on.
 const QUIET_MS: (f64, f64, f64) = (100.0, 500.0, 1.5);
 /// Refusals within this time cut the pace once.
-const CUT_MS: f64 = 500.0;
+pub(crate) const CUT_MS: f64 = 500.0;
 
 impl Lane {
     pub(crate) fn refill(&mut self, now: f64) {
@@ -42,12 +41,11 @@
         }
     }
 
-    /// Among many relays: a limit was told, of which this is the even part. The pace keeps its relation to
-    /// it.
-    pub(crate) fn share_told(&mut self, part: Option<f64>) {
-        let Some(part) = part else { return };
-        let relation = self.pace.zip(self.part).map_or(SHARE.1, |(pace, part)| pace / part);
-        (self.pace, self.part, self.crowd) = (Some(relation * part), Some(part), true);
+    /// Among many relays: a limit was told, of which this is the even part; `had` was that of the one before.
+    /// The pace keeps its relation to it.
+    pub(crate) fn share_told(&mut self, had: Option<f64>, part: f64) {
+        let relation = self.pace.zip(had).map_or(SHARE.1, |(pace, had)| pace / had);
+        (self.pace, self.crowd) = (Some(relation * part), true);
     }
 
     /// Among many relays: a call was delivered. With much of the limit left the pace rises above the even
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -16,6 +16,7 @@
 use crate::index::{spread, step, At};
 use crate::interface::*;
 use crate::keys::Keys;
+use crate::limits::CUT_MS;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,7 +32,6 @@
 const RAMP_MS: f64 = 25.0; // between looks at a ramping lane with something held
 const CROWD: f64 = 8.0; // from so many relays on a relay's own calls are few of all
 const CUT: (f64, f64) = (0.85, 0.15); // of the pace, at a refusal; when sparse
-const CUT_MS: f64 = 500.0; // refusals within this time count as one
 const GAIN: (f64, f64) = (0.03, 0.3); // of the pace, for each delivery; when sparse
 const GROW: f64 = 1.25; // a pace grows up to this multiple of what was delivered of late
 const SPARE: f64 = 0.85; // left of the limit, with which a refusal is the endpoint's own
@@ -254,9 +254,9 @@
             }
             Phase::Well => {}
         }
-        // With its limit unknown one call tells it; among many relays more would use it up.
-        let unknown = self.crowded() && self.s.limit_column.is_some() && l.told.is_none();
-        if unknown && l.calls.oldest().next().is_some() {
+        // One answer tells whether there is a limit; of many relays each more than one call would use it up.
+        let unknown = self.s.limit_column.is_some() && l.told.is_none() && l.good_at == 0.0;
+        if unknown && self.crowded() && l.calls.oldest().next().is_some() {
             return f64::MAX;
         }
         at = at.max(l.ready(self.now));
@@ -453,8 +453,9 @@
         let limit = self.s.limit_column.and_then(|c| report.get(c)).filter(|x| x.is_finite() && **x > 0.0);
         let left = self.s.left_column.and_then(|c| report.get(c)).filter(|x| x.is_finite());
         let part = limit.filter(|_| self.crowded()).map(|limit| limit / self.s.relays as f64);
+        let had = self.f.lanes.get(id).and_then(|l| self.part(l));
         self.f.lanes.get_mut(id).into_iter().for_each(|l| {
-            l.share_told(part);
+            part.into_iter().for_each(|part| l.share_told(had, part));
             l.told = limit.copied().or(l.told);
             l.left = left.copied().unwrap_or(l.left);
         });
--- a/crates/linenhall/src/view.rs
+++ b/crates/linenhall/src/view.rs
@@ -127,6 +127,8 @@
                 Bound::Pace
             }
         }
-        _ => Bound::Ramp,
+        Phase::Ramp(_) => Bound::Ramp,
+        // One call until its limit is told.
+        Phase::Well => Bound::Pace,
     }
 }
--- a/crates/linenhall/tests/crowd.rs
+++ b/crates/linenhall/tests/crowd.rs
@@ -200,6 +200,10 @@
         let events: Vec<_> = (0..6).map(|_| rig.request(SAFE, 0).1).collect();
         let sent = rig.give(&events);
         assert_eq!(sent.len(), most, "{relays} relays");
+        // A partner that tells no limit has none: once it has answered, nothing is held back for one.
+        let id = sent[0].0;
+        let next = rig.end(id, 0, linenhall::Outcome::Delivered, 20.0);
+        assert_eq!(next.len() + sent.len() - 1, 5, "{relays} relays, no limit told");
     }
 }
 
@@ -239,3 +243,31 @@
     let longest = late.iter().copied().fold(0.0, f64::max);
     assert!(late.len() >= 3 && longest <= 1400.0, "{longest} ms between trials: {late:?}");
 }
+
+fn delivered(id: u64, report: Vec<f64>) -> linenhall::Event {
+    let (outcome, took_ms, settled, wait_ms) = (linenhall::Outcome::Delivered, 20.0, true, 0.0);
+    linenhall::Event::Ended { id, attempt: 0, outcome, took_ms, settled, wait_ms, report }
+}
+
+#[test]
+fn a_pace_above_the_even_part_crosses_a_takeover_and_outlasts_the_next_answer() {
+    let settings = linenhall::Settings { relays: 100, ..told() };
+    let mut old = Rig::seeded(settings.clone(), vec![endpoint("a", 0)], 3);
+    for _ in 0..6 {
+        let (id, event) = old.request(SAFE, 0);
+        assert_eq!(old.give(&[event]).len(), 1);
+        old.give(&[delivered(id, vec![0.95, 100.0])]);
+        old.now += 2000.0;
+    }
+    let learnt = old.relay.learnt(old.now);
+    let pace = learnt.lanes[0].pace.unwrap_or(0.0);
+    assert!(pace > 1.3, "risen from an even part of one: {pace}");
+    let mut new = Rig::seeded(settings, vec![endpoint("a", 0)], 4);
+    new.now = old.now;
+    new.give(&[linenhall::Event::Learnt(Box::new(learnt))]);
+    new.now += 2000.0;
+    let (id, event) = new.request(SAFE, 0);
+    assert_eq!(new.give(&[event]).len(), 1);
+    new.give(&[delivered(id, vec![0.5, 100.0])]);
+    assert_eq!(new.relay.learnt(new.now).lanes[0].pace, Some(pace));
+}
