A test that a relay with a constant backlog keeps to its even part

Need: the bound of the pace by the share of time with a backlog, the main part of the law, had no test. Change: tests/crowd.rs, two messages come for each that goes, 12 s, with 0.95 of the limit told as left. No code is changed.

--- a/crates/linenhall/tests/crowd.rs
+++ b/crates/linenhall/tests/crowd.rs
@@ -271,3 +271,24 @@
     new.give(&[delivered(id, vec![0.5, 100.0])]);
     assert_eq!(new.relay.learnt(new.now).lanes[0].pace, Some(pace));
 }
+
+/// With much of the limit left all raise their paces. Where this relay always has a backlog, so have the others.
+#[test]
+fn a_relay_that_always_has_a_backlog_does_not_rise_above_its_even_part() {
+    let settings = linenhall::Settings { relays: 100, max_open: 100, ..told() };
+    let mut rig = Rig::seeded(settings, vec![endpoint("a", 0)], 3);
+    let mut sent = Vec::new();
+    for n in 0..1200 {
+        // Two a second come, one goes.
+        if n % 50 == 0 {
+            let events = [rig.request(SAFE, 0).1, rig.request(SAFE, 0).1];
+            sent.extend(rig.give(&events));
+        }
+        sent.extend(rig.wait(10.0));
+        for (id, _) in std::mem::take(&mut sent) {
+            sent.extend(rig.give(&[delivered(id, vec![0.95, 100.0])]));
+        }
+    }
+    let pace = rig.relay.learnt(rig.now).lanes[0].pace.unwrap_or(0.0);
+    assert!((0.9..=1.1).contains(&pace), "{pace} of an even part of one");
+}
