A list older than the one held changes nothing, and is asked for again

Need: bad lists had no tests, and an older answer was taken like a newer one: watch() set its version to whatever came, so a late or restarted agent could bring back hosts that had gone, against the rule on drains. Change: an answer with a version under the one held is an error like one that can't be read (logged once, back-off, asked again from the version held). Three in a row mean that discovery counts anew: then the whole list is asked for. Tests against a scripted agent: malformed, cut off, two older ones between versions 5 and 6 leave [5, 6]; without the check versions 3 and 4 are told. A discovery that counts anew is believed after three answers.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -24,6 +24,22 @@
 const CROWD_SPREAD_MS: u64 = 4000;
 const CROWD_RETRY_MS: (u64, u64) = (2000, 16000);
 
+/// So many answers in a row that are older than the list held mean that discovery began its count anew.
+const OLDER_IN_A_ROW: u32 = 3;
+
+/// An answer whose version lies before the one held tells what was true once, and is not taken: its hosts may be gone.
+///
+/// # Errors
+/// Names both versions.
+fn not_older(held: Option<u64>, list: &List) -> Result<(), String> {
+    match held.filter(|held| list.index < *held) {
+        Some(held) => {
+            Err(format!("a list of version {}, older than version {held} that is held", list.index))
+        }
+        None => Ok(()),
+    }
+}
+
 /// Discovery's agent, over one connection that is kept.
 pub struct Discovery {
     address: SocketAddr,
@@ -76,11 +92,11 @@
     }
 
     /// Tells all news until `news` gives `false`. `index` is the version held, if a list was fetched already;
-    /// `place` is where the agent is.
+    /// `place` is where the agent is. A list that can't be read, broke off or is older than the one held changes nothing.
     pub async fn watch(
         mut self, mut index: Option<u64>, mut place: watch::Receiver<SocketAddr>, news: impl Fn(List) -> bool,
     ) {
-        let mut failures = 0u32;
+        let (mut failures, mut older) = (0u32, 0u32);
         loop {
             let address = *place.borrow_and_update();
             if address != self.address {
@@ -93,8 +109,19 @@
                 Ok(()) = place.changed() => continue,
                 asked = self.ask(index) => asked,
             };
-            match asked {
+            let fit = asked.and_then(|list| match not_older(index, &list) {
+                Ok(()) => Ok(list),
+                Err(e) => {
+                    older += 1;
+                    Err(e)
+                }
+            });
+            if older >= OLDER_IN_A_ROW {
+                index = None;
+            }
+            match fit {
                 Ok(list) => {
+                    older = 0;
                     if failures > 0 {
                         eprintln!("mulleinslip: discovery is back");
                     }
@@ -116,3 +143,86 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+    use std::sync::{Arc, Mutex};
+
+    fn list(index: u64, snapshot: bool) -> String {
+        let host = r#"{"name":"a","address":"127.0.0.1:9","group":1,"status":"active"}"#;
+        format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{host}]}}"#)
+    }
+
+    /// What a relay was told by an agent that gives these bodies, `None` a body that breaks off, and what it
+    /// was asked for.
+    fn told(bodies: Vec<Option<String>>) -> (Vec<u64>, Vec<String>) {
+        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = agent.local_addr().unwrap();
+        let (done, is_done) = tokio::sync::oneshot::channel();
+        let serves = std::thread::spawn(move || {
+            let (mut asked, mut kept) = (Vec::new(), None::<TcpStream>);
+            for body in bodies {
+                let mut conn = kept.take().unwrap_or_else(|| agent.accept().unwrap().0);
+                let mut head = vec![0; 4096];
+                let n = conn.read(&mut head).unwrap();
+                asked.push(String::from_utf8_lossy(&head[..n]).lines().next().unwrap_or("").to_string());
+                let whole = body.clone().unwrap_or_else(|| list(9, true));
+                let sent = if body.is_some() { whole.len() } else { whole.len() / 2 };
+                let length = whole.len();
+                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{}", &whole[..sent]);
+                conn.write_all(answer.as_bytes()).unwrap();
+                kept = body.is_some().then_some(conn);
+            }
+            // One more call shows that the last answer was read.
+            let mut last = kept.unwrap_or_else(|| agent.accept().unwrap().0);
+            assert!(last.read(&mut [0; 4096]).unwrap() > 0);
+            done.send(()).unwrap();
+            asked
+        });
+        let got = Arc::new(Mutex::new(Vec::new()));
+        let hears = got.clone();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async move {
+            let (_place, place) = watch::channel(address);
+            let watcher = Discovery::new(address, 2).watch(None, place, move |list| {
+                hears.lock().unwrap().push(list.index);
+                true
+            });
+            tokio::select! {
+                done = timeout(Duration::from_secs(30), is_done) => {
+                    done.expect("the agent is asked again and again").unwrap();
+                }
+                () = watcher => panic!("the watch ended"),
+            }
+        });
+        let got = got.lock().unwrap().clone();
+        (got, serves.join().unwrap())
+    }
+
+    #[test]
+    fn lists_that_are_malformed_cut_off_or_older_change_nothing_and_are_asked_for_again() {
+        let noise = Some("{\"index\":9,\"endpoints\":[{]}".to_string());
+        let (got, asked) = told(vec![
+            Some(list(5, true)),
+            noise,
+            None,
+            Some(list(3, false)),
+            Some(list(4, true)),
+            Some(list(6, false)),
+        ]);
+        assert_eq!(got, [5, 6]);
+        assert!(asked[0].starts_with("GET /catalog/members "), "{asked:?}");
+        assert!(asked[1..].iter().all(|line| line.contains("after=5&")), "from the version held: {asked:?}");
+    }
+
+    #[test]
+    fn a_discovery_that_counts_anew_is_believed_after_three_answers() {
+        let older = || Some(list(1, true));
+        let (got, asked) = told(vec![Some(list(50, true)), older(), older(), older(), Some(list(2, true))]);
+        assert_eq!(got, [50, 2]);
+        assert!(asked[4].starts_with("GET /catalog/members "), "the whole list then: {asked:?}");
+    }
+}
