A discovery that has moved starts with no older answers counted; why a first call is believed

The count of older answers outlived a move to another agent, so that one older answer there could have been the third. And the first call of a process is not checked: the list known at a start may come from another agent, and three refusals would leave it up to 20 s without news of drains; that stood nowhere. Ruled out: the check within ask(), which would cover that first call.

--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -60,7 +60,8 @@
     }
 
     /// The version to ask from at a start that knows a list of this one. A whole list and then a watch are two calls: among
-    /// many relays the watch has to do, which tells what was missed.
+    /// many relays the watch has to do, which tells what was missed. An older answer to that first call is believed: the list
+    /// known may come from another agent, whose versions need not agree with this one's.
     pub fn start_after(&self, known: u64) -> Option<u64> {
         (self.relays >= CROWD).then_some(known)
     }
@@ -102,7 +103,7 @@
             if address != self.address {
                 // A watch in flight went with its connection. The versions of two agents need not agree.
                 self = Discovery::new(address, self.relays);
-                (index, failures) = (None, 0);
+                (index, failures, older) = (None, 0, 0);
             }
             let asked = tokio::select! {
                 biased;
