--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -178,16 +178,18 @@
 
 #[test]
 fn messages_of_one_key_go_one_at_a_time_and_in_order() {
-    let host = Host::new(|_, n| if n == 1 { Reply::Status(500) } else { Reply::Late(20) });
-    let agent = Agent::new(&[("a", 1, &host)]);
-    let relay = Relay::start(PROGRAM, &agent);
-    let mut client = relay.client();
-    for n in 0..4 {
-        assert_eq!(client.hand_in("ordered?about=k", &format!("m{n}"), 1, 4000, b"").status(), 202);
+    for key_in in ["ordered?about=k", "ordered/k"] {
+        let host = Host::new(|_, n| if n == 1 { Reply::Status(500) } else { Reply::Late(20) });
+        let agent = Agent::new(&[("a", 1, &host)]);
+        let relay = Relay::start(PROGRAM, &agent);
+        let mut client = relay.client();
+        for n in 0..4 {
+            assert_eq!(client.hand_in(key_in, &format!("m{n}"), 1, 4000, b"").status(), 202);
+        }
+        let calls = host.wait_calls(5);
+        let order: Vec<_> = calls.iter().map(|c| c.id().to_string()).collect();
+        assert_eq!(order, ["m0", "m1", "m1", "m2", "m3"], "{key_in}");
     }
-    let calls = host.wait_calls(5);
-    let order: Vec<_> = calls.iter().map(|c| c.id().to_string()).collect();
-    assert_eq!(order, ["m0", "m1", "m1", "m2", "m3"]);
 }
 
 /// SIGKILL with one message held, three out, one ended and one whose notice was never confirmed.
@@ -241,8 +243,8 @@
     let mut config = config(agent.address);
     config["settings"]["Safety"]["OrderPauseMs"] = json!(800.0);
     let relay = Relay::with(PROGRAM, config, &agent);
-    relay.client().hand_in("ordered?about=k", "m0", 1, 4000, b"");
-    relay.client().hand_in("ordered?about=k", "m1", 1, 4000, b"");
+    relay.client().hand_in("ordered/k", "m0", 1, 4000, b"");
+    relay.client().hand_in("ordered/k", "m1", 1, 4000, b"");
     host.wait_calls(1);
     let mut killed = Instant::now();
     let _relay = relay.killed(|_| killed = Instant::now());
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -131,7 +131,7 @@
             return Err((BAD, "Idempotency-Key is missing or can't be read\n"));
         }
         let idempotency_key = key.map(|key| Bytes::copy_from_slice(key.as_bytes()));
-        let order_key = order_key(head.uri.query().unwrap_or("")).filter(|_| kind.in_order);
+        let order_key = order_key(head.uri.path(), head.uri.query().unwrap_or("")).filter(|_| kind.in_order);
         if order_key.as_ref().is_some_and(|key| key.len() > MOST_ID) {
             return Err((BAD, "the key is too long\n"));
         }
@@ -196,8 +196,32 @@
     parts.find_map(|p| p.strip_prefix("dest="))?.parse().ok()
 }
 
-/// The key of a class in order: `about` in the query.
-fn order_key(query: &str) -> Option<String> {
-    let mut parts = query.split('&');
-    parts.find_map(|p| p.strip_prefix("about=")).filter(|k| !k.is_empty()).map(String::from)
+/// The key of a class in order: what follows the class in the path, else `about` in the query.
+fn order_key(path: &str, query: &str) -> Option<String> {
+    let in_path = path.trim_start_matches('/').split_once('/').map(|(_class, key)| key);
+    let in_query = || query.split('&').find_map(|p| p.strip_prefix("about="));
+    in_path.filter(|k| !k.is_empty()).or_else(in_query).filter(|k| !k.is_empty()).map(String::from)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::order_key;
+
+    #[test]
+    fn the_key_of_an_ordered_message_is_read_from_the_path_or_else_from_the_query() {
+        let rows: &[(&str, &str, Option<&str>)] = &[
+            ("/orders/00081cea", "", Some("00081cea")),
+            ("/orders/a/b", "", Some("a/b")),
+            ("/orders/a", "about=b", Some("a")),
+            ("/orders", "x=1&about=b", Some("b")),
+            ("/orders/", "about=b", Some("b")),
+            ("/orders/", "about=", None),
+            ("/orders", "", None),
+            ("/", "", None),
+            ("", "", None),
+        ];
+        for (path, query, key) in rows {
+            assert_eq!(order_key(path, query).as_deref(), *key, "{path}?{query}");
+        }
+    }
 }
--- a/crates/traffic/src/record.rs
+++ b/crates/traffic/src/record.rs
@@ -93,16 +93,18 @@
 fn message(asked: &Heard, at_us: u64) -> Option<Message> {
     let target = asked.line.split(' ').nth(1)?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let (class, key) = path.trim_start_matches('/').split_once('/').unwrap_or((path.trim_matches('/'), ""));
+    let in_query = || query.split('&').find_map(|p| p.strip_prefix("about="));
     let owned = |name: &str| Some(asked.header(name)).filter(|v| !v.is_empty()).map(String::from);
     Some(Message {
         at_us,
         id: owned("x-call-id")?,
-        class: path.trim_matches('/').into(),
+        class: class.into(),
         tenant: owned("x-caller")?,
         dest: owned("x-envelope")?.split(';').find_map(|p| p.trim().strip_prefix("dest="))?.parse().ok()?,
         budget_ms: owned("x-budget")?.strip_suffix('m')?.parse().ok()?,
         key: owned("idempotency-key"),
-        order_key: query.split('&').find_map(|p| p.strip_prefix("about=")).map(String::from),
+        order_key: Some(key).filter(|k| !k.is_empty()).or_else(in_query).map(String::from),
         body: asked.body.clone(),
     })
 }
