A message in order that is given up keeps its place until its sender has heard of its end

Ruled out: the order of restored messages (by the order of taking), the rest after an attempt that may run (no pause is set there). Lines at fault: `close` in linenhall/logic.rs, which takes a refusal for heard when it is decided. Change: where ends take time to be heard (`Settings::ends_told`, set by the engine; the simulator's ends are heard at once) the line of a key keeps what was given up until `Event::Told`, which the engine gives when the end is confirmed, or at once for what was never taken on. A process that starts with a notice still owed says so (`Event::Owed`).

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -299,6 +299,7 @@
         warm_after_ms: p.need("Safety.WarmAfterMs")?,
         fall_multiple: p.need("Safety.FallMultiple")?,
         fall_ms: p.need("Safety.FallMs")?,
+        ends_told: false,
         order_pause_ms: p.or_zero("Safety.OrderPauseMs")?,
         tick_ms: p.or_zero("TickMs")?,
     };
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -102,7 +102,7 @@
         let tally = Tally::new(settings.classes.len());
         let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
         Engine {
-            relay: Relay::new(settings.clone(), seed),
+            relay: Relay::new(Settings { ends_told: true, ..settings.clone() }, seed),
             settings,
             names,
             store,
@@ -209,6 +209,7 @@
             body: taken.body.into(),
             destination: taken.dest,
             due: taken.due,
+            in_order: taken.order_key.is_some(),
             attempts: made,
             out: Vec::new(),
             may_have_run: first.is_some(),
@@ -221,7 +222,7 @@
         let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
         let (Some(class), None) = (class, verdict) else {
             self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), false, out);
-            return None;
+            return taken.order_key.map(|key| Event::Owed { id, key });
         };
         Some(Event::Restored {
             id,
@@ -258,7 +259,9 @@
                     self.places.learn(&list, now, self.replaced_within_ms);
                     events.push(Event::Discovery(list));
                 }
-                Input::Confirmed(ids) => ids.into_iter().for_each(|id| self.confirmed(id, out)),
+                Input::Confirmed(ids) => {
+                    events.extend(ids.into_iter().filter_map(|id| self.confirmed(id, out)));
+                }
                 Input::Stop { calls_end_at } => {
                     self.stopping = true;
                     events.push(Event::Stopping { at: calls_end_at });
@@ -357,6 +360,7 @@
             body,
             destination,
             due,
+            in_order: order_key.is_some(),
             attempts: 0,
             out: Vec::new(),
             may_have_run: false,
@@ -480,6 +484,8 @@
             // Whatever else the module wants done for it is not done.
             if let Some(open) = self.open.get(id) {
                 self.tally.turned(open.class, &why);
+                // Its sender hears at once, on its own connection.
+                self.follow_up.extend(open.in_order.then_some(Event::Told { id }));
             }
             self.open.remove(id);
             out.push(Output::Told(Told::Turned { ticket, why }));
@@ -567,11 +573,12 @@
         out.push(Output::Told(Told::Final { id, call_id: open.call_id.clone(), answer }));
     }
 
-    fn confirmed<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) {
-        if self.open.get(id).is_some_and(|o| o.unconfirmed) {
-            self.open.set_unconfirmed(id, false);
-            self.close(id, out);
-        }
+    /// What the module has to hear of it.
+    fn confirmed<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) -> Option<Event> {
+        let in_order = self.open.get(id).filter(|o| o.unconfirmed)?.in_order;
+        self.open.set_unconfirmed(id, false);
+        self.close(id, out);
+        in_order.then_some(Event::Told { id })
     }
 
     /// The message's end has reached whom it concerns.
--- a/crates/engine/src/open.rs
+++ b/crates/engine/src/open.rs
@@ -21,6 +21,8 @@
     pub body: Bytes,
     pub destination: u64,
     pub due: f64,
+    /// It goes in order with others of its key: the module is told when its end has reached its sender.
+    pub in_order: bool,
     /// Made so far: the next one has this number.
     pub attempts: u32,
     pub out: Vec<Out>,
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -384,6 +384,18 @@
         );
         let took = 5.0 + self.random.f64() * 60.0;
         let sent = self.sent.get(&attempt.call_id).expect("a message that was handed in");
+        if let Some(key) = &sent.order_key {
+            let number = |id: &str| id[1..].parse::<u64>().unwrap_or(0);
+            let delivered = |s: &Sent| matches!(s.answers.last(), Some(Final::Delivered(_)));
+            let owed = self.sent.iter().find(|(id, s)| {
+                s.order_key.as_ref() == Some(key)
+                    && number(id) < number(&attempt.call_id)
+                    && s.taken
+                    && !(s.confirmed || s.withdrawn || delivered(s))
+            });
+            let owed = owed.map(|(id, _)| id);
+            assert!(owed.is_none(), "seed {}: {} goes, {owed:?} is owed", self.seed, attempt.call_id);
+        }
         let (class, order_key, destination) = (sent.class, sent.order_key.clone(), sent.destination);
         let call_id = attempt.call_id.clone();
         let run = Due::Run { call_id, class, order_key, destination, at: now };
--- a/crates/linenhall/src/interface.rs
+++ b/crates/linenhall/src/interface.rs
@@ -109,6 +109,9 @@
     pub may_cancel: bool,
     /// Endpoints may be probed.
     pub may_probe: bool,
+    /// A refusal or failure takes time to reach its sender, and [`Event::Told`] says when it has: until then the request is
+    /// not over for others of its key.
+    pub ends_told: bool,
     /// Two attempts of one request may be out at once.
     pub second_copies: bool,
     /// Clients are told when to come again.
@@ -269,6 +272,19 @@
         /// When it was sent.
         sent: f64,
     },
+    /// A request that an earlier process of this relay had given up, and whose sender has not heard of it: nothing of its
+    /// key goes before [`Event::Told`].
+    Owed {
+        /// Its id.
+        id: u64,
+        /// Its key.
+        key: String,
+    },
+    /// The sender of a request that was refused or failed has heard it: where [`Settings::ends_told`] is set.
+    Told {
+        /// The request.
+        id: u64,
+    },
     /// Outages that an earlier process of this relay knew of.
     Outages(Vec<Outage>),
     /// Waits that an earlier process was told and that bind on: destination, endpoint as in [`Outage`], until when.
--- a/crates/linenhall/src/keys.rs
+++ b/crates/linenhall/src/keys.rs
@@ -4,7 +4,7 @@
 use crate::index::agenda::Agenda;
 use crate::index::table::Table;
 use crate::index::At;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug, Default)]
 struct Key {
@@ -19,6 +19,9 @@
 pub struct Keys {
     keys: Table<Name, Key>,
     rests: Agenda<At, Name>,
+    /// Given up, and their ends have not reached their senders: key, place, and whether nothing of them is out any more.
+    /// As many as there are ends without a confirmation.
+    untold: BTreeMap<u64, (Name, u64, bool)>,
 }
 
 impl Keys {
@@ -29,8 +32,27 @@
         }
     }
 
+    /// A request is given up: it keeps its place until [`Keys::told`].
+    pub fn owe(&mut self, key: &Option<Name>, seq: u64, id: u64) {
+        key.iter().for_each(|key| _ = self.untold.insert(id, (key.clone(), seq, false)));
+    }
+
+    /// The end of a request that was given up has reached its sender. Gives the one that is next in its line now.
+    pub fn told(&mut self, id: u64, now: f64) -> Option<u64> {
+        let (key, seq, over) = self.untold.remove(&id)?;
+        if over {
+            self.leave(key, seq, id, now)
+        } else {
+            None
+        }
+    }
+
     /// A request is over. Gives the one that is next in its line now.
     pub fn leave(&mut self, key: Name, seq: u64, id: u64, now: f64) -> Option<u64> {
+        if let Some(untold) = self.untold.get_mut(&id) {
+            untold.2 = true;
+            return None;
+        }
         let k = self.keys.get_mut(&key)?;
         k.line.remove(&(seq, id));
         let next = k.line.first().map(|x| x.1);
@@ -84,6 +106,25 @@
         assert_eq!(keys.leave(key.clone(), 3, 30, 100.0), Some(20), "from the middle");
     }
 
+    #[test]
+    fn what_is_given_up_keeps_its_place_until_its_sender_has_heard() {
+        let (mut keys, name) = (Keys::default(), Name::from("k"));
+        let key = Some(name.clone());
+        [(1, 10), (2, 20), (3, 30)].into_iter().for_each(|(seq, id)| keys.queue(&key, seq, id));
+        keys.owe(&key, 1, 10);
+        assert_eq!(keys.leave(name.clone(), 1, 10, 0.0), None);
+        assert_eq!(keys.free_at(&name, 2, 20), f64::MAX, "its end is owed yet");
+        assert_eq!(keys.told(10, 5.0), Some(20));
+        assert_eq!(keys.free_at(&name, 2, 20), 0.0);
+        // Its sender hears while a call of it is out yet: then that is waited for.
+        keys.owe(&key, 2, 20);
+        assert_eq!(keys.told(20, 6.0), None);
+        assert_eq!(keys.free_at(&name, 3, 30), f64::MAX, "a call is out yet");
+        assert_eq!(keys.leave(name.clone(), 2, 20, 7.0), Some(30));
+        assert_eq!(keys.told(20, 8.0), None, "told twice");
+        assert_eq!((keys.leave(name, 3, 30, 9.0), keys.keys.len(), keys.untold.len()), (None, 0, 0));
+    }
+
     #[test]
     fn a_key_is_remembered_for_its_rest_and_no_longer() {
         let (mut keys, key) = (Keys::default(), Name::from("k"));
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -140,9 +140,7 @@
         self.now = sane(now, self.now, 1e15);
         self.open.clear();
         self.looked = None;
-        for event in events {
-            self.event(event, out);
-        }
+        events.iter().for_each(|event| self.event(event, out));
         self.ask(out);
         self.expire(out);
         self.wake();
@@ -162,6 +160,7 @@
                 self.send(*id, &Name::from(endpoint.as_str()), &mut Vec::new());
                 self.now = now;
             }
+            Event::Owed { .. } | Event::Told { .. } => self.told(event),
             Event::Outages(known) => known.iter().for_each(|o| self.recall(o)),
             Event::Waits(known) => {
                 for (dest, endpoint, until) in known {
@@ -620,6 +619,7 @@
         } else {
             out.push(Action::Fail { id });
         }
+        self.owe(id);
         self.close(id, out);
     }
 
--- a/crates/linenhall/src/upkeep.rs
+++ b/crates/linenhall/src/upkeep.rs
@@ -2,9 +2,9 @@
 //! ends, and put where release will find it. What is decided about it is `logic`'s.
 
 use crate::fleet::GroupId;
-use crate::fleet::{Dest, LaneId, Phase};
+use crate::fleet::{Dest, LaneId, Name, Phase};
 use crate::index::At;
-use crate::interface::Effect;
+use crate::interface::{Effect, Event};
 use crate::logic::Relay;
 use crate::state::{member, Look, Msg};
 
@@ -134,6 +134,30 @@
         self.earned.place(&dest, least.map(|_| self.seq));
     }
 
+    /// A request is given up: for others of its key it is over once its sender has heard.
+    pub(crate) fn owe(&mut self, id: u64) {
+        let m = self.msgs.get(&id).filter(|m| self.s.ends_told && !m.over);
+        m.into_iter().for_each(|m| self.keys.owe(&m.key, m.seq, id));
+    }
+
+    /// A sender has heard the end of its request, or one of an earlier process has yet to hear it.
+    pub(crate) fn told(&mut self, event: &Event) {
+        match event {
+            Event::Owed { id, key } => {
+                let key = Name::from(key.as_str());
+                self.seq += 1;
+                self.keys.queue(&Some(key.clone()), self.seq, *id);
+                self.keys.owe(&Some(key.clone()), self.seq, *id);
+                self.keys.leave(key, self.seq, *id, self.now);
+            }
+            Event::Told { id } => {
+                let next = self.keys.told(*id, self.now);
+                next.into_iter().for_each(|id| self.refile(id));
+            }
+            _ => {}
+        }
+    }
+
     /// What time alone has changed since the last round.
     pub(crate) fn wake(&mut self) {
         while let Some(id) = self.resting.pop_due(self.now) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -209,6 +209,7 @@
         ask_discovery: false,
         may_cancel: s.limits.cancel,
         may_probe: s.limits.probing,
+        ends_told: false,
         second_copies: s.limits.second_copies,
         retry_after: s.limits.retry_after,
         max_retry_after_ms: s.limits.max_retry_after_ms,
