What a restart finds taken on and untried is counted, and told in one line when the last has ended

Now one line a start: "found 47 taken on and untried: 24 tried, 23 given up with no call: 7 out of time at the start, 16 out of time later". A refused connection is a call; an attempt that the gate holds back is none.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,12 +6,15 @@
 use crate::store::Store;
 use crate::tally::Tally;
 use crate::timers::Timers;
-use bytes::Bytes;
-use linenhall::{Action, Discovery, Effect, Endpoint, Event, Listed, Outage, Outcome, Relay, Settings};
-use mulleinslip_journal::{Attempt as KeptAttempt, Kept, KeptOutage, Left, Taken, Verdict};
+use crate::untried::Untried;
+
+use linenhall::{Action, Effect, Event, Outage, Outcome, Relay, Settings};
+use mulleinslip_journal::{KeptOutage, Taken, Verdict};
 use std::collections::HashMap;
 use std::fmt;
 
+mod restore;
+
 /// When to come again, for a message that is turned away before the module sees it.
 const COME_AGAIN_MS: f64 = 500.0;
 /// Final answers that may wait for their confirmation while messages are still taken on: at the busiest, minutes
@@ -72,6 +75,8 @@
     store: S,
     open: Ledger<R>,
     tally: Tally,
+    /// What the start found untried.
+    untried: Untried,
     places: Places,
     /// For so long a destination without hosts may yet get one in time for what is taken on for it.
     replaced_within_ms: f64,
@@ -82,6 +87,8 @@
     follow_up: Vec<Event>,
     stopping: bool,
     released: bool,
+    /// In the round that tells what an earlier process left.
+    starting: bool,
     observer: Option<Box<dyn Observer>>,
 }
 
@@ -108,6 +115,7 @@
             store,
             open: Ledger::default(),
             tally,
+            untried: Untried::default(),
             places: Places::default(),
             replaced_within_ms: longest.clamp(0.0, 1e9),
             timers: Timers::default(),
@@ -115,6 +123,7 @@
             follow_up: Vec::new(),
             stopping: false,
             released: false,
+            starting: false,
             observer: None,
         }
     }
@@ -146,98 +155,6 @@
         &mut self.store
     }
 
-    /// Tells the module what an earlier process left, together with the lists that are known: one round, and the
-    /// first. `alive` is what that process tells if it still runs.
-    pub fn restore<T>(
-        &mut self, now: f64, lists: Vec<Discovery>, left: Left, alive: &Alive, out: &mut Vec<Output<T, R>>,
-    ) {
-        let mut events = Vec::new();
-        for list in lists {
-            self.places.learn(&list, now, self.replaced_within_ms);
-            events.push(Event::Discovery(list));
-        }
-        events.push(Event::Outages(left.outages.iter().map(recalled).collect()));
-        events.push(Event::Waits(alive.waits.clone()));
-        events.extend(alive.learnt.iter().map(|part| Event::Learnt(Box::new(part.clone()))));
-        let mut going = Vec::new();
-        for mut kept in left.kept {
-            let id = kept.id;
-            self.open.used(id);
-            let is_out = |a: &KeptAttempt| alive.out.contains(&(id, a.number));
-            let out_yet = kept.attempts.iter().position(is_out).map(|at| kept.attempts.swap_remove(at));
-            let Some(mut event) = self.restored(now, kept, out) else { continue };
-            if let (Some(a), Event::Restored { attempts, .. }) = (out_yet, &mut event) {
-                // The number that the module gives to the attempt next.
-                *attempts = a.number;
-                going.push((id, a));
-            }
-            events.push(event);
-        }
-        // The module takes what was sent in the order of time.
-        going.sort_by(|a, b| a.1.at.total_cmp(&b.1.at));
-        let mut unlisted = Vec::new();
-        for (id, a) in going {
-            let Some(open) = self.open.get_mut(id) else { continue };
-            open.attempts = a.number.saturating_add(1);
-            open.out.push(Out { attempt: a.number, begun: true, called_off: false, begin_by: open.due });
-            let destination = open.destination;
-            if !self.places.lists(&a.endpoint) {
-                // Gone from the list with a call out: it takes nothing new, and its call counts all the same.
-                let (name, weight) = (a.endpoint.clone(), 1.0);
-                let host = Endpoint { name, destination, zone: 0, kind: 0, weight, listed: Listed::Leaving };
-                events.push(Event::Discovery(Discovery::Changes(vec![host.clone()])));
-                unlisted.push(Endpoint { listed: Listed::Gone, ..host });
-            }
-            events.push(Event::Resumed { id, endpoint: a.endpoint, sent: a.at });
-        }
-        if !unlisted.is_empty() {
-            events.push(Event::Discovery(Discovery::Changes(unlisted)));
-        }
-        self.round(now, &events, Vec::new(), out);
-    }
-
-    fn restored<T>(&mut self, now: f64, kept: Kept, out: &mut Vec<Output<T, R>>) -> Option<Event> {
-        let Kept { id, taken, attempts, verdict } = kept;
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let made = attempts.iter().map(|a| a.number.saturating_add(1)).max().unwrap_or(0);
-        let first = attempts.iter().filter(|a| a.may_have_run).min_by(|a, b| a.at.total_cmp(&b.at));
-        let class = place(&self.names.classes, &taken.class);
-        let open = Open {
-            call_id: taken.call_id,
-            class: class.unwrap_or(usize::MAX),
-            idempotency_key: taken.idempotency_key.map(Bytes::from),
-            body: taken.body.into(),
-            destination: taken.dest,
-            due: taken.due,
-            in_order: taken.order_key.is_some(),
-            attempts: made,
-            out: Vec::new(),
-            may_have_run: first.is_some(),
-            over: false,
-            unconfirmed: false,
-            last: None,
-        };
-        self.open.insert(id, open);
-        // Given up already: only the answer is still owed. So it is for a class that is no more.
-        let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
-        let (Some(class), None) = (class, verdict) else {
-            self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), false, out);
-            return taken.order_key.map(|key| Event::Owed { id, key });
-        };
-        Some(Event::Restored {
-            id,
-            class,
-            tenant: place(&self.names.tenants, &taken.tenant).unwrap_or(0),
-            key: taken.order_key,
-            due: taken.due,
-            destination: taken.dest,
-            attempts: made,
-            // A clock that was set back meanwhile tells nothing of when: then it was long ago.
-            maybe: first.map(|a| (if a.at > now { 0.0 } else { a.at }, a.endpoint.clone())),
-            uncertain: attempts.iter().any(|a| a.may_run_yet),
-        })
-    }
-
     /// Takes in what has happened, and the timers that are due.
     pub fn handle<T>(
         &mut self, now: f64, inputs: impl IntoIterator<Item = Input<T, R>>, out: &mut Vec<Output<T, R>>,
@@ -250,7 +167,7 @@
                 }
                 Input::Withdrawn { id } => events.extend(self.withdrawn(id, out)),
                 Input::Ended { id, attempt, took_ms, end } => {
-                    events.push(self.ended(id, attempt, took_ms, end, out))
+                    events.push(self.ended(now, (id, attempt), took_ms, end, out))
                 }
                 Input::Probed { endpoint, outcome, took_ms, report } => {
                     events.push(Event::Probed { endpoint, outcome, took_ms, report });
@@ -274,6 +191,7 @@
         if !events.is_empty() {
             self.round(now, &events, asking, out);
         }
+        out.extend(self.untried.line().map(Output::Log));
     }
 
     /// When to come back at the latest, if nothing happens.
@@ -317,6 +235,7 @@
         }
         self.store.begun(id, attempt, now, endpoint).map_err(|e| Held::NotKept(e.to_string()))?;
         out.begun = true;
+        self.untried.begun(id);
         Ok(())
     }
 
@@ -375,17 +294,21 @@
 
     fn withdrawn<T>(&mut self, id: u64, out: &mut Vec<Output<T, R>>) -> Option<Event> {
         self.open.get(id).filter(|o| !o.over)?;
+        self.untried.withdrawn(id);
         self.open.over(id);
         self.close(id, out);
         Some(Event::Withdrawn { id })
     }
 
     fn ended<T>(
-        &mut self, id: u64, attempt: u32, took_ms: f64, end: Ended<R>, out: &mut Vec<Output<T, R>>,
+        &mut self, now: f64, (id, attempt): (u64, u32), took_ms: f64, end: Ended<R>,
+        out: &mut Vec<Output<T, R>>,
     ) -> Event {
         let Ended { outcome, settled, wait_ms, report, response } = end;
         let event = Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report };
         let Some(open) = self.open.get_mut(id) else { return event };
+        let wait_until = if wait_ms > 0.0 { now + wait_ms } else { 0.0 };
+        self.untried.ended(id, open.destination, outcome, wait_until);
         let at = open.out.iter().position(|x| x.attempt == attempt);
         let begun = at.is_some_and(|at| open.out.swap_remove(at).begun);
         open.may_have_run |= !outcome.never_ran();
@@ -506,9 +429,9 @@
                 }
             }
             Action::Refuse { id, retry_after_ms } => {
-                self.end(id, Verdict::Deferred { again_ms: retry_after_ms }, out)
+                self.end(now, id, Verdict::Deferred { again_ms: retry_after_ms }, out)
             }
-            Action::Fail { id } => self.end(id, Verdict::Undeliverable, out),
+            Action::Fail { id } => self.end(now, id, Verdict::Undeliverable, out),
             Action::Timer { at, token } => self.timers.set(at, token),
             Action::Probe { endpoint } => out.push(Output::Probe { endpoint }),
             Action::CloseIdle { endpoint } => out.push(Output::CloseIdle { endpoint }),
@@ -546,7 +469,7 @@
     }
 
     /// The module has given a message up: its sender hears at once.
-    fn end<T>(&mut self, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
+    fn end<T>(&mut self, now: f64, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
         if self.open.get(id).is_none_or(|o| o.over) {
             return;
         }
@@ -554,6 +477,7 @@
             let words = format!("journal: {e}; a restart would go on with a message that was given up");
             out.push(Output::Log(words));
         }
+        self.untried.given_up(id, now, self.starting, true);
         self.give_up(id, verdict, true, out);
     }
 
@@ -590,10 +514,6 @@
     }
 }
 
-fn recalled((destination, endpoint, back, before): &KeptOutage) -> Outage {
-    Outage { destination: *destination, endpoint: endpoint.clone(), back: *back, before: *before }
-}
-
 fn kept_outage(o: &Outage) -> KeptOutage {
     (o.destination, o.endpoint.clone(), o.back, o.before)
 }
--- /dev/null
+++ b/crates/engine/src/engine/restore.rs
@@ -0,0 +1,114 @@
+//! How a process goes on with what an earlier one left.
+
+use super::{Alive, Engine};
+use crate::message::Output;
+use crate::open::{Open, Out};
+use crate::store::Store;
+use bytes::Bytes;
+use linenhall::{Discovery, Endpoint, Event, Listed, Outage};
+use mulleinslip_journal::{Attempt as KeptAttempt, Kept, KeptOutage, Left, Verdict};
+
+impl<S: Store, R> Engine<S, R> {
+    /// Tells the module what an earlier process left, together with the lists that are known: one round, and the
+    /// first. `alive` is what that process tells if it still runs.
+    pub fn restore<T>(
+        &mut self, now: f64, lists: Vec<Discovery>, left: Left, alive: &Alive, out: &mut Vec<Output<T, R>>,
+    ) {
+        let mut events = Vec::new();
+        for list in lists {
+            self.places.learn(&list, now, self.replaced_within_ms);
+            events.push(Event::Discovery(list));
+        }
+        events.push(Event::Outages(left.outages.iter().map(recalled).collect()));
+        events.push(Event::Waits(alive.waits.clone()));
+        events.extend(alive.learnt.iter().map(|part| Event::Learnt(Box::new(part.clone()))));
+        let mut going = Vec::new();
+        for mut kept in left.kept {
+            let id = kept.id;
+            self.open.used(id);
+            let is_out = |a: &KeptAttempt| alive.out.contains(&(id, a.number));
+            let out_yet = kept.attempts.iter().position(is_out).map(|at| kept.attempts.swap_remove(at));
+            let Some(mut event) = self.restored(now, kept, out) else { continue };
+            if let (Some(a), Event::Restored { attempts, .. }) = (out_yet, &mut event) {
+                // The number that the module gives to the attempt next.
+                *attempts = a.number;
+                going.push((id, a));
+            }
+            events.push(event);
+        }
+        // The module takes what was sent in the order of time.
+        going.sort_by(|a, b| a.1.at.total_cmp(&b.1.at));
+        let mut unlisted = Vec::new();
+        for (id, a) in going {
+            let Some(open) = self.open.get_mut(id) else { continue };
+            open.attempts = a.number.saturating_add(1);
+            open.out.push(Out { attempt: a.number, begun: true, called_off: false, begin_by: open.due });
+            let destination = open.destination;
+            if !self.places.lists(&a.endpoint) {
+                // Gone from the list with a call out: it takes nothing new, and its call counts all the same.
+                let (name, weight) = (a.endpoint.clone(), 1.0);
+                let host = Endpoint { name, destination, zone: 0, kind: 0, weight, listed: Listed::Leaving };
+                events.push(Event::Discovery(Discovery::Changes(vec![host.clone()])));
+                unlisted.push(Endpoint { listed: Listed::Gone, ..host });
+            }
+            events.push(Event::Resumed { id, endpoint: a.endpoint, sent: a.at });
+        }
+        if !unlisted.is_empty() {
+            events.push(Event::Discovery(Discovery::Changes(unlisted)));
+        }
+        self.starting = true;
+        self.round(now, &events, Vec::new(), out);
+        self.starting = false;
+        out.extend(self.untried.line().map(Output::Log));
+    }
+
+    fn restored<T>(&mut self, now: f64, kept: Kept, out: &mut Vec<Output<T, R>>) -> Option<Event> {
+        let Kept { id, taken, attempts, verdict } = kept;
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let made = attempts.iter().map(|a| a.number.saturating_add(1)).max().unwrap_or(0);
+        let first = attempts.iter().filter(|a| a.may_have_run).min_by(|a, b| a.at.total_cmp(&b.at));
+        let class = place(&self.names.classes, &taken.class);
+        let open = Open {
+            call_id: taken.call_id,
+            class: class.unwrap_or(usize::MAX),
+            idempotency_key: taken.idempotency_key.map(Bytes::from),
+            body: taken.body.into(),
+            destination: taken.dest,
+            due: taken.due,
+            in_order: taken.order_key.is_some(),
+            attempts: made,
+            out: Vec::new(),
+            may_have_run: first.is_some(),
+            over: false,
+            unconfirmed: false,
+            last: None,
+        };
+        self.open.insert(id, open);
+        if made == 0 && verdict.is_none() {
+            self.untried.found(id, taken.due, taken.dest);
+        }
+        // Given up already: only the answer is still owed. So it is for a class that is no more.
+        let verdict = verdict.or(class.is_none().then_some(Verdict::Undeliverable));
+        let (Some(class), None) = (class, verdict) else {
+            self.untried.given_up(id, now, true, class.is_some());
+            self.give_up(id, verdict.unwrap_or(Verdict::Undeliverable), false, out);
+            return taken.order_key.map(|key| Event::Owed { id, key });
+        };
+        Some(Event::Restored {
+            id,
+            class,
+            tenant: place(&self.names.tenants, &taken.tenant).unwrap_or(0),
+            key: taken.order_key,
+            due: taken.due,
+            destination: taken.dest,
+            attempts: made,
+            // A clock that was set back meanwhile tells nothing of when: then it was long ago.
+            maybe: first.map(|a| (if a.at > now { 0.0 } else { a.at }, a.endpoint.clone())),
+            uncertain: attempts.iter().any(|a| a.may_run_yet),
+        })
+    }
+}
+
+fn recalled((destination, endpoint, back, before): &KeptOutage) -> Outage {
+    Outage { destination: *destination, endpoint: endpoint.clone(), back: *back, before: *before }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod store;
 mod tally;
 mod timers;
+mod untried;
 
 pub use engine::{Alive, Engine, Held, Names, Observer};
 pub use message::{Attempt, Ended, Final, Input, Message, Output, Told, Turned};
