What a restart finds taken on and untried is tried while it has time, and makes no room for others

`best` in logic.rs sends what loses most by waiting. What an earlier process held is old, has little worth left to lose, and stays behind whatever comes in until its time is over. Ruled out: destinations that told a wait (2 to 70), and the start itself (105 to 478 were over before it, of which nothing can be tried). Change: a message that a restart found untried and whose destination will not have worked through its hold in time goes ahead, the one that ends first before the others, as long as there is time for an answer; and it makes no room for others. With its first call that is over. Paces, waits, trials, ramps and windows bind it as before.

--- a/crates/daemon/tests/endings.rs
+++ b/crates/daemon/tests/endings.rs
@@ -29,3 +29,61 @@
         assert_eq!(host.calls_of("first"), 0);
     }
 }
+
+/// Killed with hundreds taken on and none tried, killed again before it could try them, and started with a smaller hold:
+/// each is tried, and none is doubled.
+#[test]
+fn hundreds_that_a_restart_finds_untried_are_tried() {
+    const MANY: usize = 300;
+    let host = Host::new(|_, _| Reply::Late(5));
+    let agent = Agent::new(&[]);
+    agent.hold(1);
+    let mut config = config(agent.address);
+    config["settings"]["Limits"]["MaxOpen"] = serde_json::json!(MANY + 20);
+    let relay = Relay::with(PROGRAM, config.clone(), &agent);
+    let mut client = relay.client();
+    for n in 0..MANY {
+        assert_eq!(client.hand_in("unsafe", &format!("m{n}"), 1, 5000, b"order").status(), 202);
+    }
+    let relay = relay.killed(|_| {});
+    config["settings"]["Limits"]["MaxOpen"] = serde_json::json!(50);
+    let relay = relay.killed(|journal| {
+        let file = journal.parent().and_then(|state| state.parent()).unwrap().join("config.json");
+        std::fs::write(file, config.to_string()).unwrap();
+        agent.list("a", 1, host.address, "active");
+    });
+    let line = format!("found {MANY} taken on and untried: {MANY} tried, 0 given up with no call");
+    until("the line", || relay.logged(&line).then_some(()));
+    until("their answers", || (host.all_answered().len() == MANY).then_some(()));
+    assert!((0..MANY).all(|n| host.calls_of(&format!("m{n}")) == 1));
+    assert!(agent.all_notices().is_empty());
+}
+
+/// What can't be tried any more is told apart in the same line.
+#[test]
+fn what_a_restart_can_not_try_is_counted_with_its_cause() {
+    let host = Host::ok();
+    let agent = Agent::new(&[]);
+    agent.hold(1);
+    let config = config(agent.address);
+    let relay = Relay::with(PROGRAM, config.clone(), &agent);
+    relay.take("safe", "tried", 1);
+    relay.take("keyed", "no-class", 1);
+    assert_eq!(
+        relay.client().hand_in("safe", "overdue", 1, 1, b"").status(),
+        503,
+        "it ends in its first round"
+    );
+    assert_eq!(relay.client().hand_in("safe", "late", 1, 400, b"").status(), 202);
+    let relay = relay.killed(|journal| {
+        std::thread::sleep(std::time::Duration::from_millis(450));
+        let file = journal.parent().and_then(|state| state.parent()).unwrap().join("config.json");
+        std::fs::write(file, config.to_string().replace("\"keyed\"", "\"renamed\"")).unwrap();
+        agent.list("a", 1, host.address, "active");
+    });
+    let line = "found 3 taken on and untried: 1 tried, 2 given up with no call: 1 out of time at the start, 1 of a class that \
+                is no more";
+    until("the line", || relay.logged(line).then_some(()));
+    assert_eq!(agent.wait_notice("no-class")["status"], "undeliverable");
+    assert_eq!(agent.wait_notice("late")["status"], "deferred");
+}
--- a/crates/linenhall/src/fleet.rs
+++ b/crates/linenhall/src/fleet.rs
@@ -162,6 +162,8 @@
     pub tenant: usize,
     /// Of keyed messages that may have run: where first.
     pub first: Option<Name>,
+    /// An earlier process took them on and made no call for them, nor did this one yet.
+    pub untried: bool,
 }
 
 /// A destination: its endpoints and lanes, and what is held for it.
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -42,6 +42,7 @@
 const KEEP_MS: f64 = 300.0; // an idle connection is kept if the next call on it is expected this soon
 const HURT_MS: f64 = 60000.0; // or if no connection of its kind was refused or broke for so long
 const LOSS_STEPS: f64 = 4294967296.0; // in a unit of worth
+const URGENT: f64 = 1e15; // over any loss of worth: what a restart finds untried goes first, by its end
 const ASK_MS: (f64, f64) = (500.0, 8000.0); // between failed calls for the list
 const OVERDUE: usize = 16; // calls beyond their time that are looked at, the longest first
 const LOST: f64 = 2.0; // of the time after which a call outruns its latency: so long it may just be slow
@@ -172,9 +173,7 @@
             }
             Event::Learnt(told) => self.take_up(told).iter().for_each(|id| self.touch_lane(id)),
             Event::Stopping { at } => self.stop_at = Some(*at),
-            Event::Started { id, .. } => {
-                self.msgs.get_mut(id).into_iter().for_each(|m| m.started = true);
-            }
+            Event::Started { id, .. } => self.msgs.get_mut(id).into_iter().for_each(|m| m.started = true),
             Event::Ended { .. } => self.ended(event, out),
             Event::Withdrawn { id } => self.close(*id, out),
             Event::Timer { .. } => self.armed = f64::MAX,
@@ -259,8 +258,7 @@
         if unknown && self.crowded() && l.calls.oldest().next().is_some() {
             return f64::MAX;
         }
-        at = at.max(l.ready(self.now));
-        at
+        at.max(l.ready(self.now))
     }
 
     /// Whether a destination is sick: a call outruns its latency, or its last outcome failed.
@@ -513,8 +511,9 @@
             self.rest_key(&key, id);
         }
         let maybe = maybe.as_ref().map(|(at, name)| (*at, Name::from(name.as_str())));
-        let (tries, tenant, dest, seq) = (*attempts, *tenant, *destination, self.seq);
-        let m = Msg { class, tenant, key, born, due, dest, seq, tries, maybe, ..Msg::default() };
+        let (tries, tenant, dest, seq, untried) =
+            (*attempts, *tenant, *destination, self.seq, *attempts == 0);
+        let m = Msg { class, tenant, key, born, due, dest, seq, tries, maybe, untried, ..Msg::default() };
         self.msgs.insert(id, m);
         self.hold(id);
         if lost || tries >= self.s.max_attempts || self.now >= due - 1.0 {
@@ -570,7 +569,7 @@
     pub(crate) fn least(&self, dest: u64) -> Option<(f64, Member)> {
         let d = self.f.dests.get(&dest)?;
         let wait = self.drain_ms(dest, d.held);
-        let groups = d.groups.iter().filter(|(g, _)| g.first.is_none());
+        let groups = d.groups.iter().filter(|(g, _)| g.first.is_none() && !g.untried);
         let earns = groups.filter_map(|(g, group)| {
             step();
             // The newest would go last; the oldest may have lost its worth.
@@ -647,6 +646,7 @@
         let Some(m) = self.msgs.get_mut(&id) else { return };
         let Some(at) = m.flying.iter().position(|f| f.0 == *attempt) else { return };
         let (_, call_id) = m.flying.remove(at);
+        m.untried &= matches!(o, Outcome::NotSent | Outcome::Cancelled);
         let key = m.key.clone();
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.riders.retain(|x| *x != id);
@@ -893,10 +893,11 @@
                 if g.first.is_some() && self.msgs.get(&member.id).is_none_or(over) {
                     return;
                 }
-                let lone = d.held == 1;
+                let (lone, due) = (d.held == 1, member.due.get());
                 // In whole steps: what loses the same but for rounding goes in the order of arrival.
                 let loss = || self.worth(c, &member, soon, share) - self.worth(c, &member, last, share);
-                let loss = if lone { 0.0 } else { (loss() * LOSS_STEPS).round() };
+                let urgent = (g.untried && (soon..last).contains(&due)).then_some(URGENT - due);
+                let loss = urgent.unwrap_or_else(|| if lone { 0.0 } else { (loss() * LOSS_STEPS).round() });
                 if best.is_none_or(|b| loss > b.0 || (loss == b.0 && member.seq < b.1)) {
                     best = Some((loss, member.seq, member.id));
                 }
--- a/crates/linenhall/src/state.rs
+++ b/crates/linenhall/src/state.rs
@@ -37,6 +37,8 @@
     pub not_before: f64,
     pub over: bool,
     pub started: bool,
+    /// See [`crate::fleet::GroupId::untried`].
+    pub untried: bool,
 }
 
 /// What a destination would send next.
--- a/crates/linenhall/src/upkeep.rs
+++ b/crates/linenhall/src/upkeep.rs
@@ -123,7 +123,7 @@
     pub(crate) fn group(&self, m: &Msg) -> GroupId {
         let keyed = self.s.classes[m.class].effect == Effect::Keyed;
         let first = m.maybe.as_ref().filter(|_| keyed).map(|x| x.1.clone());
-        GroupId { class: m.class, tenant: m.tenant, first }
+        GroupId { class: m.class, tenant: m.tenant, first, untried: m.untried }
     }
 
     /// Puts a destination anew among those weighed by what their holds earn least.
