Half-read requests are answered at an early end, silent watches show sooner, null settings are absent

SIGTERM with nothing owed: `Runtime::finished` ends the process 600 ms after it, whatever clients are in the middle of; a request that was half read, or whole and unread, was cut off with no answer. Now idle connections are closed and whoever has begun a request is answered first (`Clients::finish`), 850 ms at most and never beyond 3.6 s. 2. A silent watch: 5 s of wait, 1 s more, a pause of up to 150 ms and up to 1 s for a connection: over 6 s after the silence began, which is when what was missed counts as told. The wait is 2 s now where lists are pushed, as calls are free there; where they are asked for it stays 5 s, and what is missed counts as told 2 s after the wait. Reason: the protocol's 6 s and 2 s. 3. Settings with a field that is null stopped the start ("invalid type: null"): null is absent now; the error that is told is still the one with the line of the text. Tests, over loopback, tests/endings.rs: each fails with its guard taken out (tried: no wait at the end: connection cut; a wait of 5 s: "6.03 s after the silence began"; the former config.rs: no start). The stand-in of discovery honours wait_ms and can fall silent.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -5,6 +5,7 @@
 use mulleinslip_http::{Calls, List, ListNames};
 use mulleinslip_settings::{FileSettings, Read};
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -69,11 +70,28 @@
     text.map(|text| address(what, &text)).transpose()
 }
 
+/// The same with no field that is null. In lists nulls stay, as their places mean something.
+fn without_nulls(value: Value) -> Value {
+    match value {
+        Value::Object(fields) => {
+            let fields = fields.into_iter().filter(|(_, v)| !v.is_null());
+            Value::Object(fields.map(|(name, v)| (name, without_nulls(v))).collect())
+        }
+        Value::Array(items) => Value::Array(items.into_iter().map(without_nulls).collect()),
+        plain => plain,
+    }
+}
+
 /// Reads and checks the file.
 fn load(path: &Path) -> Result<(File, Read), String> {
     let named = |e: &dyn std::fmt::Display| format!("configuration {}: {e}", path.display());
     let text = std::fs::read_to_string(path).map_err(|e| named(&e))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| named(&e))?;
+    // A field that is null is one that is absent. The error that is told has the line of the text as it stands.
+    let file = serde_json::from_str(&text).or_else(|e| {
+        let nulls_left_out = serde_json::from_str(&text).map(without_nulls).ok();
+        nulls_left_out.and_then(|value| serde_json::from_value::<File>(value).ok()).ok_or(e)
+    });
+    let file: File = file.map_err(|e| named(&e))?;
     if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e6) {
         return Err(format!("limits.disk_mb cannot be read: {}", file.limits.disk_mb));
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -27,6 +27,9 @@
 const KEEP_LISTENING: Duration = Duration::from_millis(450);
 /// SIGKILL may come 3.7 s after SIGTERM; connections go on coming for up to 0.4 s.
 const STOP: StopTimes = StopTimes { calls_end_ms: 3500.0, linger_ms: 600.0, exit_ms: 3600.0 };
+/// Whoever has begun a request has it answered when the process ends; so long is waited for it, which is longer than a
+/// request may take to come whole, and never beyond the end of [`STOP`].
+const FINISH: Duration = Duration::from_millis(850);
 /// Descriptors for all that is not a connection of a client or to a host: standard streams 3, event loop and
 /// signals 5, listener and one more client than there are places 2, journal 2, discovery 2, notices 2, the
 /// configuration 1, the second address with its callers and one more 10, the socket for a new process and its
@@ -213,9 +216,12 @@
         clock,
     });
     let (go, mut told_to_go) = watch::channel(false);
+    let (told, leaving) = (Rc::new(Cell::new(Instant::now())), clients.clone());
+    let stopped = told.clone();
     spawn_local(async move {
         terminate.recv().await;
         log("SIGTERM; taking on nothing more");
+        told.set(Instant::now());
         let _serving_yet = go.send(true);
         intake.stopping.set(true);
         let _stopped_already = handle.stop(STOP);
@@ -225,7 +231,12 @@
     eprintln!("mulleinslip: {} serves on {listening}", config.name);
     runtime.run().await;
     books.iter().for_each(Keeper::end);
-    if operator.has_passed() {
+    if !operator.has_passed() {
+        // Nothing is owed any more, but for an answer to those whose request is coming: they may not know yet.
+        let exit = Duration::from_secs_f64(STOP.exit_ms / 1000.0);
+        let left = exit.saturating_sub(stopped.get().elapsed()).min(FINISH);
+        let _left_at_last = tokio::time::timeout(left, leaving.finish()).await;
+    } else {
         let _all_is_passed = passing.await;
         tokio::select! {
             () = takeover::linger() => {}
--- a/crates/daemon/tests/endings.rs
+++ b/crates/daemon/tests/endings.rs
@@ -87,3 +87,75 @@
     assert_eq!(agent.wait_notice("no-class")["status"], "undeliverable");
     assert_eq!(agent.wait_notice("late")["status"], "deferred");
 }
+
+/// At SIGTERM with nothing owed the process ends early; whoever is in the middle of handing a message in is answered first.
+#[test]
+fn a_request_that_is_half_read_when_the_process_may_end_is_answered() {
+    let agent = Agent::new(&[("a", 1, &Host::ok())]);
+    let mut relay = Relay::start(PROGRAM, &agent);
+    let mut idle = relay.client();
+    relay.terminate();
+    until("the signal", || relay.logged("SIGTERM").then_some(()));
+    // Idle ones are closed soon before the process may end; from then on this one alone is left.
+    assert!(idle.answer().is_none(), "closed");
+    let mut client = relay.client();
+    client.send(b"POST /safe HTTP/1.1\r\nHost: x\r\nX-Call-Id: m\r\nX-Caller: acme\r\nX-Budget: 4000m\r\n");
+    let told = std::time::Instant::now();
+    until("the time at which it may end", || (told.elapsed().as_millis() > 350).then_some(()));
+    client.send(b"X-Envelope: dest=1\r\nContent-Length: 1\r\n\r\nb");
+    assert_eq!(client.answer().map(|a| a.status()), Some(503));
+    assert!(relay.wait_exit().success());
+}
+
+/// Settings come from many hands: fields that are null, absent where they may be, in another order or unknown serve as well.
+#[test]
+fn settings_with_null_absent_and_unknown_fields_serve() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut config = config(agent.address);
+    config["control"] = serde_json::json!("");
+    config["seed"] = serde_json::Value::Null;
+    config["known"] = serde_json::Value::Null;
+    let settings = config["settings"].as_object_mut().unwrap();
+    for name in ["Discovery", "Costs", "LoadReport", "OverShareWorth", "Weights", "Zones"] {
+        settings.insert(name.into(), serde_json::Value::Null);
+    }
+    settings.insert("Unheard".into(), serde_json::json!({"Of": [1, null]}));
+    ["TickMs", "Zone"].iter().for_each(|name| _ = settings.remove(*name));
+    for class in settings["Profiles"].as_array_mut().unwrap() {
+        class["Group"] = serde_json::Value::Null;
+    }
+    settings["Safety"]["OrderPauseMs"] = serde_json::Value::Null;
+    let relay = Relay::with(PROGRAM, config, &agent);
+    relay.take_once_listed("keyed", "m", 1);
+    until("the delivery", || host.delivered("m").then_some(()));
+}
+
+/// The watch falls silent in the first moments of a process, and the next one at once again, and a host leaves meanwhile: what
+/// was missed counts as told 6 s after each began, and by then the relay has asked anew and sends there no more.
+#[test]
+fn a_watch_that_falls_silent_twice_is_noticed_in_time_and_hosts_that_left_are_left_alone() {
+    let (old, new) = (Host::ok(), Host::ok());
+    let agent = Agent::new(&[("a", 1, &old)]);
+    let relay = Relay::start(PROGRAM, &agent);
+    until("a watch", || (agent.watches() > 0).then_some(()));
+    for _ in 0..2 {
+        let watched = agent.watches();
+        agent.hush();
+        let silent = std::time::Instant::now();
+        until("another watch", || (agent.watches() > watched).then_some(()));
+        // Time out, pause and connection take 3.2 s; 5 s are room for a slow machine.
+        assert!(silent.elapsed().as_millis() < 5000, "{:?} after the silence began", silent.elapsed());
+    }
+    let watched = agent.watches();
+    agent.hush();
+    let silent = std::time::Instant::now();
+    agent.list("a", 1, old.address, "leaving");
+    agent.list("b", 1, new.address, "active");
+    relay.take("safe", "unheard", 1);
+    until("the missed news", || (agent.watches() > watched + 1).then_some(()));
+    assert!(silent.elapsed().as_millis() < 6000);
+    relay.take("safe", "heard", 1);
+    until("its delivery", || new.delivered("heard").then_some(()));
+    assert_eq!((old.calls_of("unheard"), old.calls_of("heard")), (1, 0));
+}
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -33,6 +33,8 @@
 const DRAIN_IDLE: Duration = Duration::from_millis(2300);
 /// And until those are left whose request does not come whole: 4 s after the call nobody may be here.
 const DRAIN_ALL: Duration = Duration::from_millis(3600);
+/// How often it is looked at whether anybody is left when the process ends.
+const FINISH_LOOK: Duration = Duration::from_millis(5);
 /// What is read at once.
 const READ: usize = 4096;
 
@@ -152,6 +154,20 @@
         });
     }
 
+    /// The process is about to end: closes what is idle, and lasts until whoever has begun a request has its answer. What is
+    /// written on a connection counts as handed in once its last byte is there, read or not.
+    pub async fn finish(&self) {
+        loop {
+            let idle = |g: &&Rc<Guest>| g.turn.get() == Turn::Idle && !g.unwritten();
+            self.guests.borrow().values().filter(idle).for_each(|g| g.dismiss());
+            // One more turn of the event loop: what has come by now is seen, and what was dismissed has gone.
+            tokio::time::sleep(FINISH_LOOK).await;
+            if self.guests.borrow().is_empty() {
+                return;
+            }
+        }
+    }
+
     fn dismiss_all(&self) {
         let waits = |g: &&Rc<Guest>| g.turn.get() != Turn::Answering;
         self.guests.borrow().values().filter(waits).for_each(|g| g.dismiss());
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -9,8 +9,12 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// How long one watch may wait. Short, as an agent that has fallen silent shows only when this is over.
+/// How long one watch may wait where calls cost something. Short, as an agent that has fallen silent shows only when this is
+/// over: what it missed then counts as told 2 s after the wait.
 const WATCH: Duration = Duration::from_millis(5000);
+/// And where calls are free: what was missed counts as told 6 s after the silence began, and this with [`GRACE`], a pause and
+/// a connection that is lost once stays well within that, in the worst order of events.
+const FREE_WATCH: Duration = Duration::from_millis(2000);
 const GRACE: Duration = Duration::from_millis(1000);
 const CONNECT: Duration = Duration::from_millis(1000);
 /// A list is read this far: thousands of hosts.
@@ -81,6 +85,14 @@
         self.calls == Calls::Dear
     }
 
+    fn wait(&self) -> Duration {
+        if self.dear() {
+            WATCH
+        } else {
+            FREE_WATCH
+        }
+    }
+
     /// How long a process that starts waits with its first call: many relays may start at once, as in a release.
     pub fn spread(&self) -> Duration {
         let most = if self.dear() { CROWD_SPREAD_MS } else { 0 };
@@ -98,10 +110,10 @@
     pub async fn ask(&mut self, after: Option<u64>) -> Result<List, String> {
         let path = match after {
             None => "/catalog/members".to_string(),
-            Some(index) => format!("/catalog/members?after={index}&wait_ms={}", WATCH.as_millis()),
+            Some(index) => format!("/catalog/members?after={index}&wait_ms={}", self.wait().as_millis()),
         };
         let patience = if self.dear() { CROWD_GRACE } else { GRACE };
-        let within = patience + after.map_or(Duration::ZERO, |_| WATCH);
+        let within = patience + after.map_or(Duration::ZERO, |_| self.wait());
         let mut conn = match self.conn.take().filter(Conn::usable) {
             Some(conn) => conn,
             None => Conn::open(self.address, CONNECT).await.map_err(|e| e.to_string())?,
--- a/crates/http/src/guest.rs
+++ b/crates/http/src/guest.rs
@@ -131,6 +131,11 @@
         self.answering.set(false);
     }
 
+    /// Whether an answer is on its way out.
+    pub fn unwritten(&self) -> bool {
+        self.answering.get()
+    }
+
     /// What another process has to read to go on with this connection. `None` if it must not: an answer is due or
     /// on its way out, or what has come can't be read anew.
     pub fn hand_over(&self) -> Option<Vec<u8>> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -254,6 +254,8 @@
     watches: usize,
     /// Calls for the list, watches too.
     calls: usize,
+    /// How often all watches that were open have fallen silent.
+    hushed: usize,
 }
 
 /// Discovery's agent.
@@ -295,6 +297,11 @@
         self.told.lock().unwrap().down = down;
     }
 
+    /// All watches that are open fall silent: their connections stay, and nothing comes on them any more.
+    pub fn hush(&self) {
+        self.told.lock().unwrap().hushed += 1;
+    }
+
     pub fn reply_to_notices(&self, statuses: Vec<u16>) {
         self.told.lock().unwrap().notice_replies = statuses;
     }
@@ -338,15 +345,27 @@
             } else {
                 let after: Option<u64> =
                     heard.line.split("after=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
+                let wait_ms = heard
+                    .line
+                    .split("wait_ms=")
+                    .nth(1)
+                    .and_then(|t| t.split(['&', ' ']).next()?.parse().ok());
+                let wait = Duration::from_millis(wait_ms.unwrap_or(0));
                 let start = Instant::now();
-                {
+                let hushed = {
                     let mut told = self.told.lock().unwrap();
                     told.calls += 1;
                     told.watches += usize::from(after.is_some());
-                }
+                    told.hushed
+                };
                 loop {
                     let told = self.told.lock().unwrap();
-                    let news = after.is_none_or(|a| told.index > a) || start.elapsed().as_secs() >= 4;
+                    if told.hushed > hushed {
+                        drop(told);
+                        let _nothing = reader.read(&mut [0; 1]);
+                        return;
+                    }
+                    let news = after.is_none_or(|a| told.index > a) || start.elapsed() >= wait;
                     if news && !told.down {
                         break;
                     }
