--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -13,6 +13,7 @@
                                   ROUTER_CONFIG (file), ROUTER_STATE (folder that lasts), and, before the
                                   file's own, ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY
   mulleinslip serve --account     the same, with a line a second in the log that says where slots and time went
+  mulleinslip serve --audit       the same as the first, with a line in the log for each step in a message's life
   mulleinslip account LOG...      add such lines up and print them as tables
   mulleinslip demo                serve beside stand-ins on loopback, hand in a few messages, print their ends
   mulleinslip check-config FILE   say whether the file can be served with
@@ -22,7 +23,7 @@
 /// What the arguments ask for.
 pub enum Wanted {
     /// To serve; with accounts in the log or without.
-    Serve { account: bool },
+    Serve { account: bool, audit: bool },
     /// This was done, or failed for this reason.
     Done(Result<(), String>),
 }
@@ -31,8 +32,9 @@
 pub fn run(args: &[String]) -> Wanted {
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     Wanted::Done(match args[..] {
-        [] | ["serve"] => return Wanted::Serve { account: false },
-        ["serve", "--account"] => return Wanted::Serve { account: true },
+        [] | ["serve"] => return Wanted::Serve { account: false, audit: false },
+        ["serve", "--account"] => return Wanted::Serve { account: true, audit: false },
+        ["serve", "--audit"] => return Wanted::Serve { account: false, audit: true },
         ["account", ref logs @ ..] if !logs.is_empty() => account::read(logs).map(|sum| print!("{sum}")),
         ["demo"] => demo(),
         ["check-config", file] => config::check(Path::new(file)).map(|words| println!("{file}: {words}")),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 /// The program, with these arguments.
 pub fn main(args: &[String]) -> ExitCode {
     let done = match cli::run(args) {
-        cli::Wanted::Serve { account } => serve::run(account),
+        cli::Wanted::Serve { account, audit } => serve::run(account, audit),
         cli::Wanted::Done(done) => done,
     };
     match done {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,7 +6,9 @@
 use crate::operate::{Operator, Serving};
 use crate::takeover::{self, Stand, TakenOver};
 use mulleinslip_engine::Engine;
+
 use mulleinslip_http::{
+    audit::{self, Step},
     run_notices, CarrierSettings, Clients, Discovery, HttpCarrier, HttpFront, Intake, Ticket, Unheard,
 };
 use mulleinslip_journal::Journal;
@@ -46,7 +48,7 @@
 const NEXT_PROCESS: usize = 20;
 
 /// Serves as the environment says, until a signal. The error is one line.
-pub fn run(account: bool) -> Result<(), String> {
+pub fn run(account: bool, audit: bool) -> Result<(), String> {
     // A task that panics would leave its message without an end and nobody the wiser; a process that ends
     // starts again from its journal.
     let report = std::panic::take_hook();
@@ -55,6 +57,9 @@
         std::process::abort();
     }));
     let config = config::read()?;
+    if audit {
+        mulleinslip_http::audit::enable();
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config, account))
@@ -117,6 +122,13 @@
     let opened = takeover::open(&config.state, config.disk_bytes).await;
     let (journal, mut left, taken) =
         opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    for kept in &left.kept {
+        audit::note(&kept.taken.call_id, || Step::Restored {
+            due: kept.taken.due,
+            attempts: kept.attempts.len(),
+            given_up: kept.verdict.is_some(),
+        });
+    }
     left.notes.iter().for_each(|note| log(note));
     let mut engine = Engine::new(config.settings.clone(), config.seed, config.names.clone(), journal);
     let books = account.then(|| Keeper::new(&config.settings, clock.now()));
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -1,6 +1,7 @@
 //! Calls and probes to hosts: connections, what may be written when, and how each call ended. One call is at
 //! most one request on one connection; nothing is sent again here.
 
+use crate::audit::{self, Step};
 use crate::conn::{bytes, Answer, Conn, Failure, Progress, SMALL};
 use crate::idle::Idle;
 use crate::outcomes::Meaning;
@@ -224,7 +225,7 @@
     /// byte is left for the next one; once a byte is out there is no second try.
     async fn exchange(
         &self, endpoint: &str, dest: Option<u64>,
-        request: impl Fn() -> (hyper::http::request::Builder, Bytes), begin: impl Fn() -> bool,
+        request: impl Fn() -> (hyper::http::request::Builder, Bytes), begin: impl Fn(&Conn) -> bool,
         progress: &RefCell<Option<Rc<Progress>>>,
     ) -> Result<Answer, Held> {
         loop {
@@ -238,7 +239,7 @@
                 }
             };
             // Also where an earlier connection was of no use: another one took time.
-            if !begin() {
+            if !begin(&conn) {
                 self.keep(endpoint, conn);
                 return Err(Held::NotNow);
             }
@@ -263,6 +264,60 @@
         }
     }
 
+    /// One attempt; `progress` is that of the connection that it went out on, if it came so far.
+    async fn call(
+        &self, call: &Attempt, gate: &dyn Gate, mut off: CallOff, progress: &RefCell<Option<Rc<Progress>>>,
+    ) -> Ended<()> {
+        let wait = call.wait();
+        let request = || {
+            let mut request = Request::post("/inbox")
+                .header(CALL_ID, &call.call_id)
+                .header(BUDGET, format!("{}m", wait.as_millis()));
+            if let Some(key) = &call.idempotency_key {
+                request = request.header(KEY, key.as_ref());
+            }
+            (request, call.body.clone())
+        };
+        let begin = |conn: &Conn| {
+            let begins = gate.begin();
+            if begins {
+                audit::note(&call.call_id, || Step::Begun {
+                    attempt: call.attempt,
+                    endpoint: &call.endpoint,
+                    port: conn.local_port(),
+                    carried: conn.carried(),
+                });
+            }
+            begins
+        };
+        let exchange = self.exchange(&call.endpoint, Some(call.destination), request, begin, progress);
+        let outcome = tokio::select! {
+            biased;
+            () = off.wanted() => Outcome::Cancelled,
+            r = tokio::time::timeout(wait, exchange) => match r {
+                Ok(Ok(answer)) => return self.read(&call.endpoint, &answer),
+                Ok(Err(Held::NoConnection)) => Outcome::NoConnection,
+                Ok(Err(Held::NotNow)) => Outcome::NotSent,
+                Ok(Err(Held::Stale)) => Outcome::Stale,
+                // It has run, as a first line is written once it has; if that says 200 it is delivered.
+                Ok(Err(Held::Spoilt)) => Outcome::Error,
+                Err(_) => Outcome::TimedOut,
+            }
+        };
+        let said_200 = progress.borrow().as_ref().is_some_and(|p| p.status() == Some(200));
+        if said_200 {
+            return Ended { settled: true, response: Some(()), ..Ended::bare(Outcome::Delivered) };
+        }
+        // The connection is closed by now. What was not written whole can't have run.
+        let written = progress.borrow().as_ref().is_some_and(|p| p.complete());
+        Ended::bare(match outcome {
+            Outcome::NoConnection if written => Outcome::Broken,
+            Outcome::Stale if !written => Outcome::NotSent,
+            Outcome::Cancelled | Outcome::TimedOut if !written => Outcome::NoConnection,
+            other => other,
+        })
+    }
+
     /// The newest idle connection that still stands, or a new one.
     async fn connection(&self, endpoint: &str) -> Result<(bool, Conn, Lease<'_>), Held> {
         let address = {
@@ -402,52 +457,25 @@
         });
     }
 
-    async fn attempt(&self, call: &Attempt, gate: &dyn Gate, mut off: CallOff) -> Ended<()> {
+    async fn attempt(&self, call: &Attempt, gate: &dyn Gate, off: CallOff) -> Ended<()> {
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
-        let wait = call.wait();
-        let request = || {
-            let mut request = Request::post("/inbox")
-                .header(CALL_ID, &call.call_id)
-                .header(BUDGET, format!("{}m", wait.as_millis()));
-            if let Some(key) = &call.idempotency_key {
-                request = request.header(KEY, key.as_ref());
-            }
-            (request, call.body.clone())
-        };
-        let exchange =
-            self.exchange(&call.endpoint, Some(call.destination), request, || gate.begin(), &progress);
-        let outcome = tokio::select! {
-            biased;
-            () = off.wanted() => Outcome::Cancelled,
-            r = tokio::time::timeout(wait, exchange) => match r {
-                Ok(Ok(answer)) => return self.read(&call.endpoint, &answer),
-                Ok(Err(Held::NoConnection)) => Outcome::NoConnection,
-                Ok(Err(Held::NotNow)) => Outcome::NotSent,
-                Ok(Err(Held::Stale)) => Outcome::Stale,
-                // It has run, as a first line is written once it has; if that says 200 it is delivered.
-                Ok(Err(Held::Spoilt)) => Outcome::Error,
-                Err(_) => Outcome::TimedOut,
-            }
-        };
-        let said_200 = progress.borrow().as_ref().is_some_and(|p| p.status() == Some(200));
-        if said_200 {
-            return Ended { settled: true, response: Some(()), ..Ended::bare(Outcome::Delivered) };
-        }
-        // The connection is closed by now. What was not written whole can't have run.
-        let written = progress.borrow().as_ref().is_some_and(|p| p.complete());
-        Ended::bare(match outcome {
-            Outcome::NoConnection if written => Outcome::Broken,
-            Outcome::Stale if !written => Outcome::NotSent,
-            Outcome::Cancelled | Outcome::TimedOut if !written => Outcome::NoConnection,
-            other => other,
-        })
+        let ended = self.call(call, gate, off, &progress).await;
+        let progress = progress.borrow();
+        audit::note(&call.call_id, || Step::Ended {
+            attempt: call.attempt,
+            outcome: format!("{:?}", ended.outcome),
+            settled: ended.settled,
+            status: progress.as_ref().and_then(|p| p.status()),
+            whole: progress.as_ref().is_some_and(|p| p.complete()),
+        });
+        ended
     }
 
     async fn probe(&self, endpoint: &str) -> (Outcome, Vec<f64>) {
         let path = if self.s.report_columns.is_empty() { "/ping" } else { "/_load" };
         let progress = RefCell::default();
         let request = || (Request::get(path), Bytes::new());
-        let exchange = self.exchange(endpoint, None, request, || true, &progress);
+        let exchange = self.exchange(endpoint, None, request, |_| true, &progress);
         let outcome = match tokio::time::timeout(PROBE, exchange).await {
             Ok(Ok(answer)) => {
                 let end = self.read(endpoint, &answer);
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -180,7 +180,7 @@
     }
 
     fn come(&self, number: u64) -> Rc<Guest> {
-        let guest = Rc::new(Guest::new(self.crowded.clone()));
+        let guest = Rc::new(Guest::new(number, self.crowded.clone()));
         let mut guests = self.guests.borrow_mut();
         guests.insert(number, guest.clone());
         self.crowded.set(guests.len() > self.crowd);
@@ -271,6 +271,7 @@
         let clients = self.clone();
         tokio::task::spawn_local(async move {
             clients.serve_client(stream, unread, &guest).await;
+            guest.gone();
             clients.go(number);
             drop(place);
         });
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -300,6 +300,8 @@
     socket: Socket,
     progress: Rc<Progress>,
     reusable: bool,
+    /// Requests that it has carried.
+    carried: u32,
 }
 
 impl Conn {
@@ -319,7 +321,7 @@
         let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(stream);
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         let (driver, driver_done, driver_failed) = (Box::pin(driver), false, false);
-        Ok(Conn { sender, driver, driver_done, driver_failed, socket, progress, reusable: true })
+        Ok(Conn { sender, driver, driver_done, driver_failed, socket, progress, reusable: true, carried: 0 })
     }
 
     /// Its socket, for another process. It goes on there with nothing left here but to drop this one.
@@ -327,6 +329,16 @@
         self.socket.borrow().as_fd().try_clone_to_owned()
     }
 
+    /// Requests that it has carried.
+    pub fn carried(&self) -> u32 {
+        self.carried
+    }
+
+    /// The port on this side; 0 if it is gone.
+    pub fn local_port(&self) -> u16 {
+        self.socket.borrow().local_addr().map_or(0, |address| address.port())
+    }
+
     pub fn progress(&self) -> Rc<Progress> {
         self.progress.clone()
     }
@@ -352,6 +364,7 @@
         &mut self, request: Request<Body>, body_within: Duration, most: usize,
     ) -> Result<Answer, Failure> {
         self.reusable = false;
+        self.carried = self.carried.saturating_add(1);
         self.progress.begin(request.body().size_hint().exact().unwrap_or(u64::MAX) as usize);
         let mut under_way = UnderWay { socket: self.socket.clone(), over: false };
         let mut sending = Box::pin(self.sender.send_request(request));
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,6 +2,7 @@
 //! hears by notice how one ended that was taken on and not delivered.
 
 use crate::answer::{Answer, Ticket};
+use crate::audit::{self, Step};
 use crate::notices::Notice;
 use mulleinslip_engine::{Final, Told, Turned};
 use mulleinslip_runtime::Front;
@@ -28,6 +29,13 @@
             }
             Told::Turned { ticket, why: Turned::Failed } => (ticket, Answer::Failed),
             Told::Final { id, call_id, answer } => {
+                let outcome = match &answer {
+                    Final::Delivered(()) => "delivered",
+                    Final::Over(_) => "over",
+                    Final::Refused { .. } => "deferred",
+                    Final::Failed { .. } => "undeliverable",
+                };
+                audit::note(&call_id, || Step::Final { outcome });
                 let deferred = match answer {
                     // The partner's 200 or 410 is all that the platform needs.
                     Final::Delivered(()) | Final::Over(_) => return,
--- a/crates/http/src/guest.rs
+++ b/crates/http/src/guest.rs
@@ -1,6 +1,7 @@
 //! What is known of a client connection: whose turn it is and since when, and a look at each head for what hyper
 //! settles silently.
 
+use crate::audit::{self, Step};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -111,10 +112,14 @@
     pub hurry: Notify,
     /// Shared by all: too many are here for idle ones to be kept.
     crowded: Rc<Cell<bool>>,
+    /// Its number among the connections of this process.
+    pub number: u64,
+    /// The message whose answer is not written yet, where an audit is kept.
+    audited: RefCell<Option<String>>,
 }
 
 impl Guest {
-    pub fn new(crowded: Rc<Cell<bool>>) -> Guest {
+    pub fn new(number: u64, crowded: Rc<Cell<bool>>) -> Guest {
         Guest {
             turn: Cell::new(Turn::Idle),
             since: Cell::new(Instant::now()),
@@ -128,6 +133,8 @@
             lingers: Cell::new(false),
             hurry: Notify::new(),
             crowded,
+            number,
+            audited: RefCell::default(),
         }
     }
 
@@ -198,7 +205,25 @@
 
     /// All that was to be written is.
     pub fn flushed(&self) {
-        self.answering.set(false);
+        if self.answering.replace(false) {
+            if let Some(id) = self.audited.take() {
+                audit::note(&id, || Step::AnswerWritten { client: self.number });
+            }
+        }
+    }
+
+    /// This message has been read on it and is answered next.
+    pub fn audit(&self, call_id: &str) {
+        if audit::enabled() {
+            self.audited.replace(Some(call_id.to_string()));
+        }
+    }
+
+    /// It is gone.
+    pub fn gone(&self) {
+        if let Some(id) = self.audited.take() {
+            audit::note(&id, || Step::ClientGone { client: self.number });
+        }
     }
 
     /// Whether an answer is on its way out.
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,6 +1,7 @@
 //! What clients hand in: reads and checks it, and answers at once. Nothing here trusts what it reads.
 
 use crate::answer::Answer;
+use crate::audit::{self, Step};
 use crate::conn::{bytes, collect, Body};
 use crate::guest::Guest;
 use crate::handle::Handle;
@@ -72,7 +73,7 @@
                         let _never_gone = self.paused.subscribe().wait_for(|paused| !paused).await.is_ok();
                     }
                     guest.answering();
-                    self.hand_in(message).await
+                    self.hand_in(message, guest).await
                 }
                 Err((status, why)) => plain(status, why),
             }
@@ -86,16 +87,26 @@
         Ok(reply)
     }
 
-    async fn hand_in(&self, message: Message) -> Reply {
+    async fn hand_in(&self, message: Message, guest: &Guest) -> Reply {
         let (answer, answered) = oneshot::channel();
+        let (call_id, client) = (message.call_id.clone(), guest.number);
+        guest.audit(&call_id);
+        audit::note(&call_id, || Step::Handed {
+            client,
+            due: message.due,
+            class: message.class,
+            destination: message.destination,
+        });
         // If this request's connection ends first, `answered` is dropped, and the message is left.
         let _or_stopped = self.engine.hand_in(Box::new(message), answer);
-        match answered.await {
+        let reply = match answered.await {
             Ok(Answer::Taken) => plain(StatusCode::ACCEPTED, ""),
             Ok(Answer::Failed) => plain(StatusCode::INTERNAL_SERVER_ERROR, "not delivered\n"),
             Ok(Answer::Refused { retry_after_ms }) => refused(retry_after_ms),
             Err(_) => refused(None),
-        }
+        };
+        audit::note(&call_id, || Step::Answered { client, status: reply.status().as_u16() });
+        reply
     }
 
     /// Reads a request whole and checks it.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! notices, the carrier that calls hosts, and discovery.
 
 mod answer;
+pub mod audit;
 mod carrier;
 mod clients;
 mod close;
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -1,6 +1,7 @@
 //! Notices to the platform: how a message ended that was taken on and not delivered. Each is sent at once and
 //! again until it is answered 204, to where the platform is now; one for a message that is over does no harm.
 
+use crate::audit::{self, Step};
 use crate::conn::{backoff, bytes, Conn, SMALL};
 use crate::handle::Handle;
 use hyper::{Request, StatusCode};
@@ -88,6 +89,9 @@
                 if status == StatusCode::BAD_REQUEST {
                     eprintln!("mulleinslip: a notice can't be read there: {}", waiting[0].line().trim_end());
                 }
+                for notice in &waiting[..count] {
+                    audit::note(&notice.call_id, || Step::Notified { status: status.as_u16() });
+                }
                 let over = waiting.drain(..count).map(|n| n.id).collect();
                 if !engine.confirm(over) {
                     return;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -506,6 +506,13 @@
         Relay::run(program, command, folder, agent.address)
     }
 
+    /// With arguments for the program.
+    pub fn with_arguments(program: Program, agent: &Agent, arguments: &[&str]) -> Relay {
+        let (mut command, folder) = command(&program, &config(agent.address));
+        command.args(arguments);
+        Relay::run(program, command, folder, agent.address)
+    }
+
     fn run(program: Program, mut command: Command, folder: PathBuf, agent: SocketAddr) -> Relay {
         let mut child = command.spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
@@ -547,6 +554,15 @@
         self.log.lock().unwrap().iter().any(|l| l.contains(words))
     }
 
+    /// The lines of the audit about this message: each step's name and the whole step.
+    pub fn audit(&self, id: &str) -> Vec<(String, Value)> {
+        let lines = self.log.lock().unwrap();
+        let steps = lines.iter().filter_map(|l| l.split_once("audit {"));
+        let steps = steps.filter_map(|(_, rest)| serde_json::from_str::<Value>(&format!("{{{rest}")).ok());
+        let of_id = steps.filter(|step| step["id"] == id);
+        of_id.map(|step| (step["step"].as_str().unwrap_or_default().to_string(), step)).collect()
+    }
+
     pub fn journal(&self) -> PathBuf {
         self.folder.join("state/journal")
     }
