A delivery at the end of its message's time is told by notice as well

Timers are exact to a millisecond, so an answer that comes just then is read before the call is given up. Engine::ended took any 200 for an end that the platform knows as well and told nobody; for the platform the time was over when the host wrote, and the end still owed.

Change: a delivery in the last 200 ms of its time, or after it, is Final::DeliveredLate: recorded as owed, told by notice, told again after a kill, until confirmed; the next of its key waits for that (Event::EndOwed). It isn't sent again. A notice for a message that is over does no harm by the protocol. 200 ms, as the relay's reckoning may lag the client's: the request's way, and 150 ms of being held up.

Why it holds: whichever side is ahead, the platform has either the 200 in time or the notice. Answers passed on after a takeover go the same way; the plug-in hands its caller the answer and confirms at once.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -21,6 +21,11 @@
 /// of them. Each takes some hundred bytes, here and in the store.
 const MOST_UNCONFIRMED: usize = 4096;
 
+/// An answer that comes less than this before the end of its message's time, in milliseconds, may count as too late for the
+/// sender: its own time began with its last byte, and this process may have been held up before it read that. 150 ms of
+/// that, and the 50 ms by which every time limit is longer.
+const LATE_MS: f64 = 200.0;
+
 /// What the store calls the module's numbers, so that they mean the same to a process with other settings.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -169,7 +174,7 @@
                 }
                 Input::Withdrawn { id } => events.extend(self.withdrawn(id, out)),
                 Input::Ended { id, attempt, took_ms, end } => {
-                    events.push(self.ended(now, (id, attempt), took_ms, end, out))
+                    self.ended(now, (id, attempt), took_ms, end, &mut events, out);
                 }
                 Input::Probed { endpoint, outcome, took_ms, report } => {
                     events.push(Event::Probed { endpoint, outcome, took_ms, report });
@@ -314,12 +319,12 @@
     }
 
     fn ended<T>(
-        &mut self, now: f64, (id, attempt): (u64, u32), took_ms: f64, end: Ended<R>,
+        &mut self, now: f64, (id, attempt): (u64, u32), took_ms: f64, end: Ended<R>, events: &mut Vec<Event>,
         out: &mut Vec<Output<T, R>>,
-    ) -> Event {
+    ) {
         let Ended { outcome, settled, wait_ms, report, response } = end;
         let event = Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report };
-        let Some(open) = self.open.get_mut(id) else { return event };
+        let Some(open) = self.open.get_mut(id) else { return events.push(event) };
         let wait_until = if wait_ms > 0.0 { now + wait_ms } else { 0.0 };
         self.untried.ended(id, open.destination, outcome, wait_until);
         let at = open.out.iter().position(|x| x.attempt == attempt);
@@ -327,17 +332,18 @@
         open.may_have_run |= !outcome.never_ran();
         let was_over = open.over;
         if settled && !was_over {
-            let answer = match response {
-                Some(r) if outcome == Outcome::Delivered => Final::Delivered(r),
-                r => Final::Over(r),
-            };
-            let call_id = open.call_id.clone();
-            self.tally.ended(open.class, &answer);
-            self.open.over(id);
-            // What is over needs no outcome: its end is recorded at once.
-            self.close(id, out);
-            out.push(Output::Told(Told::Final { id, call_id, answer }));
-            return event;
+            let late = outcome == Outcome::Delivered && now >= open.due - LATE_MS;
+            let owed = late && open.in_order;
+            events.extend(owed.then_some(Event::EndOwed { id }));
+            events.push(event);
+            match response {
+                Some(response) if late => self.delivered_late(id, response, out),
+                Some(response) if outcome == Outcome::Delivered => {
+                    self.settle(id, Final::Delivered(response), out)
+                }
+                response => self.settle(id, Final::Over(response), out),
+            }
+            return;
         }
         if response.is_some() {
             open.last = response;
@@ -351,7 +357,38 @@
             }
         }
         self.open.remove_if_done(id);
-        event
+        events.push(event);
+    }
+
+    /// The partner's answer is all that was owed.
+    fn settle<T>(&mut self, id: u64, answer: Final<R>, out: &mut Vec<Output<T, R>>) {
+        let Some(open) = self.open.get(id) else { return };
+        let call_id = open.call_id.clone();
+        self.tally.ended(open.class, &answer);
+        self.open.over(id);
+        // What is over needs no outcome: its end is recorded at once.
+        self.close(id, out);
+        out.push(Output::Told(Told::Final { id, call_id, answer }));
+    }
+
+    /// It is delivered and not sent again, but its sender may have counted it as not answered before the partner's answer
+    /// came. Told nothing more it would wait for good, so it is told as for a message that was given up: that does no harm
+    /// where the delivery did count.
+    fn delivered_late<T>(&mut self, id: u64, response: R, out: &mut Vec<Output<T, R>>) {
+        self.keep_verdict(id, Verdict::Undeliverable, out);
+        self.open.over(id);
+        self.open.set_unconfirmed(id, true);
+        let Some(open) = self.open.get(id) else { return };
+        let answer = Final::DeliveredLate(response);
+        self.tally.ended(open.class, &answer);
+        out.push(Output::Told(Told::Final { id, call_id: open.call_id.clone(), answer }));
+    }
+
+    fn keep_verdict<T>(&mut self, id: u64, verdict: Verdict, out: &mut Vec<Output<T, R>>) {
+        if let Err(e) = self.store.verdict(id, verdict) {
+            let words = format!("journal: {e}; a restart would go on with a message that was given up");
+            out.push(Output::Log(words));
+        }
     }
 
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Action> {
@@ -486,10 +523,7 @@
         if self.open.get(id).is_none_or(|o| o.over) {
             return;
         }
-        if let Err(e) = self.store.verdict(id, verdict) {
-            let words = format!("journal: {e}; a restart would go on with a message that was given up");
-            out.push(Output::Log(words));
-        }
+        self.keep_verdict(id, verdict, out);
         self.untried.given_up(id, now, self.starting, true);
         self.give_up(id, verdict, true, out);
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -33,6 +33,9 @@
 pub enum Final<R> {
     /// Delivered, with the partner's answer.
     Delivered(R),
+    /// Delivered, with the partner's answer, which came so near the end of the message's time that whoever counts that time
+    /// elsewhere may take it for too late.
+    DeliveredLate(R),
     /// The partner says that it is over, though it was not delivered: nothing more is owed.
     Over(Option<R>),
     /// Given up, and handing it in again is harmless as its class sees it.
@@ -89,9 +92,9 @@
         /// What its sender is told.
         why: Turned,
     },
-    /// The one final answer of a message that was taken on, perhaps by an earlier process. [`Final::Refused`] and
-    /// [`Final::Failed`] are owed until [`Input::Confirmed`], and told again after a restart; the other two are
-    /// known to the partner, and told once.
+    /// The one final answer of a message that was taken on, perhaps by an earlier process. [`Final::Refused`],
+    /// [`Final::Failed`] and [`Final::DeliveredLate`] are owed until [`Input::Confirmed`], and told again after a restart,
+    /// the last one as failed; the other two are known to the partner, and told once.
     Final {
         /// The engine's number for it.
         id: u64,
--- a/crates/engine/src/tally.rs
+++ b/crates/engine/src/tally.rs
@@ -43,7 +43,7 @@
 
     pub(crate) fn ended<R>(&mut self, class: usize, answer: &Final<R>) {
         self.of(class, |ends| match answer {
-            Final::Delivered(_) => ends.delivered += 1,
+            Final::Delivered(_) | Final::DeliveredLate(_) => ends.delivered += 1,
             Final::Refused { .. } => ends.refused += 1,
             Final::Failed { .. } => ends.failed += 1,
             Final::Over(_) => {}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -31,6 +31,7 @@
             Told::Final { id, call_id, answer } => {
                 let outcome = match &answer {
                     Final::Delivered(()) => "delivered",
+                    Final::DeliveredLate(()) => "delivered_late",
                     Final::Over(_) => "over",
                     Final::Refused { .. } => "deferred",
                     Final::Failed { .. } => "undeliverable",
@@ -40,7 +41,7 @@
                     // The partner's 200 or 410 is all that the platform needs.
                     Final::Delivered(()) | Final::Over(_) => return,
                     Final::Refused { again_ms, .. } => Some(again_ms),
-                    Final::Failed { .. } => None,
+                    Final::Failed { .. } | Final::DeliveredLate(()) => None,
                 };
                 let _stopped = self.notices.send(Notice { id, call_id, deferred });
                 return;
--- a/crates/linenhall/src/interface.rs
+++ b/crates/linenhall/src/interface.rs
@@ -283,7 +283,13 @@
         /// Its key.
         key: String,
     },
-    /// The sender of a request that was refused or failed has heard it: where [`Settings::ends_told`] is set.
+    /// The next [`Event::Ended`] of this request settles it, but its sender has to be told as well: nothing of its key goes
+    /// before [`Event::Told`], where [`Settings::ends_told`] is set.
+    EndOwed {
+        /// Its id.
+        id: u64,
+    },
+    /// The sender of a request whose end was owed has heard it: where [`Settings::ends_told`] is set.
     Told {
         /// The request.
         id: u64,
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -161,7 +161,7 @@
                 self.send(*id, &Name::from(endpoint.as_str()), &mut Vec::new());
                 self.now = now;
             }
-            Event::Owed { .. } | Event::Told { .. } => self.told(event),
+            Event::Owed { .. } | Event::EndOwed { .. } | Event::Told { .. } => self.told(event),
             Event::Outages(known) => known.iter().for_each(|o| self.recall(o)),
             Event::Waits(known) => {
                 for (dest, endpoint, until) in known {
--- a/crates/linenhall/src/upkeep.rs
+++ b/crates/linenhall/src/upkeep.rs
@@ -144,7 +144,7 @@
         m.into_iter().for_each(|m| self.keys.owe(&m.key, m.seq, id));
     }
 
-    /// A sender has heard the end of its request, or one of an earlier process has yet to hear it.
+    /// A sender has heard the end of its request, or has yet to hear it.
     pub(crate) fn told(&mut self, event: &Event) {
         match event {
             Event::Owed { id, key } => {
@@ -154,6 +154,7 @@
                 self.keys.owe(&Some(key.clone()), self.seq, *id);
                 self.keys.leave(key, self.seq, *id, self.now);
             }
+            Event::EndOwed { id } => self.owe(*id),
             Event::Told { id } => {
                 let next = self.keys.told(*id, self.now);
                 next.into_iter().for_each(|id| self.refile(id));
--- a/crates/tower/src/front.rs
+++ b/crates/tower/src/front.rs
@@ -158,6 +158,7 @@
             Told::Final { id, call_id, answer } => {
                 let (end, owed) = match answer {
                     Final::Delivered(answer) | Final::Over(Some(answer)) => (Ok(answer), false),
+                    Final::DeliveredLate(answer) => (Ok(answer), true),
                     Final::Over(None) => (Err(Error::Failed { may_have_run: false, last: None }), false),
                     Final::Refused { again_ms, may_have_run, last } => (
                         Err(Error::Refused {
