Takeover test: the delivery before the drain is waited for

Seen: a_new_process_that_gets_its_list_late_goes_on_with_the_old_ones failed once beside load ("it drains": left 0, right 1).

Cause: the test took a message and had its host drain at once. A call whose connection is not up by then is not sent to a host that drains, as it should be, and goes to the other one; the test counted on it having been sent. Evidence: with the first host accepting late (a trial) it fails the same way each time; 60 runs beside 16 busy loops without that failed none.

Change: the test waits for that delivery before the news. Its checks stay as they were.

--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -421,6 +421,8 @@
     let agent = Agent::new(&[("first", 1, &first)]);
     let mut old = Relay::start(PROGRAM, &agent);
     old.take("safe", "before", 1);
+    // Before the news: a call whose connection is not up yet would go to the other host.
+    until("its delivery", || first.delivered("before").then_some(()));
     until("a watch", || (agent.watches() > 0).then_some(()));
     agent.list("next", 1, next.address, "active");
     agent.list("first", 1, first.address, "leaving");
