A returning destination gets no multiple of what it delivers just now

Cause: Relay::bears took 0.65 of what was delivered in the last 2 s for capacity and sent the settings' multiple (2) of that: each span's overload, delivered, proved 1.3 times as much for the next. Every relay did so for its part, so the sum did.

Change: the multiple applies to what was delivered before the outage; what is delivered now may be sent again, once. It holds for any number of relays, as no relay can grow from what it sent itself.

half_of_the_partners_slow_at_once_...: its floor of 0.4 was met by breaking this rule (63 and 42 calls in spans in which 37 and 32 are allowed, seen with the old law), so it can't stand with it. In its place: no span over the rule, which the old law fails, and half of what the rule lets through.

--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -36,7 +36,6 @@
 const GROW: f64 = 1.25; // a pace grows up to this multiple of what was delivered of late
 const SPARE: f64 = 0.85; // left of the limit, with which a refusal is the endpoint's own
 const SHUN_MS: f64 = 3000.0; // in the mean, of an endpoint that refuses while much of the limit is left
-const SHOWN_MARGIN: f64 = 0.65; // of what a returning destination delivers just now, taken for its capacity
 const SOON_MS: f64 = 2000.0; // the short memory for rates
 const LONG_MS: f64 = 15000.0; // the long one
 const KEEP_MS: f64 = 300.0; // an idle connection is kept if the next call on it is expected this soon
@@ -230,9 +229,10 @@
         let warm = ((self.now - since) / s.warm_after_ms).clamp(0.0, 1.0);
         let able = s.cold_share + (1.0 - s.cold_share) * warm;
         let usual = lane.usual.rate(self.now).max(lane.before).max(self.part(lane).unwrap_or(0.0));
-        // What it delivers just now it can do, whatever the clock says: slowness is no outage.
-        let shown = SHOWN_MARGIN * lane.soon.rate(self.now);
-        s.fall_multiple * (able * usual).max(shown) * s.fall_ms / 1000.0
+        // What it delivers just now it can do, whatever the clock says: slowness is no outage. It gets no
+        // multiple of that: an overload that is delivered proves no capacity, and would prove the next one.
+        let shown = lane.soon.rate(self.now);
+        (s.fall_multiple * able * usual).max(shown) * s.fall_ms / 1000.0
     }
 
     /// When the lane may take a call: now, or at a later time (`f64::MAX`: not before something happens).
--- a/crates/linenhall/tests/cold.rs
+++ b/crates/linenhall/tests/cold.rs
@@ -1,5 +1,10 @@
 //! A destination that comes back cold falls under the sum of what all relays send: at most N calls in the time that the settings
 //! name, N being what they allow it then, and 2 x root of N + 2 that are put down to chance.
+//!
+//! What happened: among 1 to 30 relays such a destination got 1.6 to 5.9 times that, on every seed (48 tried). Each relay took 0.65
+//! times what the destination delivered in the last 2 s for its capacity, and sent the multiple of that which the settings allow
+//! (2 here): so each span's overload, delivered, was the proof of 1.3 times as much in the next. With the backlog of an outage of
+//! 10 s the calls grew until all was sent. Among 100 relays and more each sends too seldom for that.
 
 mod common;
 use common::*;
@@ -14,6 +19,11 @@
 
 /// When calls went out after the return, from relays of this count, each with its part of the traffic by chance.
 fn calls(relays: u64, seed: u64) -> Vec<f64> {
+    calls_after((Outcome::NoConnection, 1.0), relays, seed)
+}
+
+/// The same after an outage in which calls end like this, after so long at most.
+fn calls_after((down_outcome, down_ms): (Outcome, f64), relays: u64, seed: u64) -> Vec<f64> {
     let told = linenhall::Settings { max_open: 200, slots: 12, ..settings() };
     let settings = linenhall::Settings { relays: relays as usize, ..told };
     let mut rigs: Vec<Rig> =
@@ -38,14 +48,17 @@
         rig.give(&[event]);
         for action in rig.last.clone() {
             let (after, event) = match action {
-                Action::Send { id, .. } => {
+                Action::Send { id, timeout_ms, .. } => {
                     let down = (DOWN.0..DOWN.1).contains(&rig.now);
                     if rig.now >= DOWN.1 {
                         sent.push(rig.now);
                     }
                     let attempt = *tries.entry((relay, id)).and_modify(|n| *n += 1).or_insert(0);
-                    let (outcome, took_ms) =
-                        if down { (Outcome::NoConnection, 1.0) } else { (Outcome::Delivered, 40.0) };
+                    let (outcome, took_ms) = if down {
+                        (down_outcome, timeout_ms.unwrap_or(down_ms).min(down_ms))
+                    } else {
+                        (Outcome::Delivered, 40.0)
+                    };
                     let (settled, wait_ms, report) = (!down, 0.0, Vec::new());
                     (took_ms, Event::Ended { id, attempt, outcome, took_ms, settled, wait_ms, report })
                 }
--- a/crates/linenhall/tests/slots.rs
+++ b/crates/linenhall/tests/slots.rs
@@ -52,6 +52,13 @@
 
 /// Plays for so many milliseconds, of which the first second does not count, in steps of 5.
 fn play(settings: Settings, partners: &[Partner], class: impl Fn(u64) -> usize, ms: f64) -> Vec<Ends> {
+    play_and_note(settings, partners, class, ms).0
+}
+
+/// The same, and when calls were sent to each partner, in milliseconds since the start.
+fn play_and_note(
+    settings: Settings, partners: &[Partner], class: impl Fn(u64) -> usize, ms: f64,
+) -> (Vec<Ends>, Vec<Vec<f64>>) {
     let classes = settings.classes.clone();
     let mut rig = Rig::new(settings, partners.len() as u64);
     let mut flying: Vec<(f64, Event)> = Vec::new();
@@ -59,7 +66,7 @@
     let mut tries = BTreeMap::<u64, u32>::new();
     let mut owed = vec![0.0; partners.len()];
     let mut ends = vec![Ends::default(); partners.len()];
-    let mut calls = vec![0; partners.len()];
+    let mut sent = vec![Vec::new(); partners.len()];
     let begin = rig.now;
     while rig.now < begin + ms {
         rig.now += 5.0;
@@ -98,9 +105,9 @@
             let Action::Send { id, endpoint, timeout_ms, .. } = action else { continue };
             let dest: usize = endpoint[1..].parse().expect("endpoints are named after their destination");
             let attempt = tries.entry(id).or_default();
-            calls[dest] += 1;
+            sent[dest].push(now - begin);
             let timeout = timeout_ms.unwrap_or(f64::MAX);
-            flying.push(match (partners[dest].reply)(now - begin, calls[dest]) {
+            flying.push(match (partners[dest].reply)(now - begin, sent[dest].len()) {
                 After(took) if took < timeout => (now + took, ended(id, *attempt, Outcome::Delivered, took)),
                 Wait(wait) => (now + 5.0, full(id, *attempt, wait)),
                 After(_) | Never => (now + timeout, ended(id, *attempt, Outcome::TimedOut, timeout)),
@@ -120,7 +127,14 @@
         }
         rig.relay.audit().expect("the module stands up to an audit");
     }
-    ends
+    (ends, sent)
+}
+
+/// Calls that the rule on returning destinations allows from one time to another, to one that came back at `back` and
+/// takes `rate` calls a second when it is warm.
+fn allowed(s: &Settings, rate: f64, back: f64, (from, to): (f64, f64)) -> f64 {
+    let warm = (((from + to) / 2.0 - back) / s.warm_after_ms).clamp(0.0, 1.0);
+    s.fall_multiple * (s.cold_share + (1.0 - s.cold_share) * warm) * rate * (to - from) / 1000.0
 }
 
 /// Two quick partners with much traffic, a slow one, and some whose queues wait for something else than slots.
@@ -159,21 +173,41 @@
     assert!(share(&ends) >= 0.6 && ends[0].late < 20, "{}: {ends:?}", share(&ends));
 }
 
-/// Half of the partners slow at once, without errors: time-outs only. The others keep their service.
+/// Half of the partners slow at once, without errors: time-outs only. The others keep their service. Two of the three answer
+/// nothing, so that they are cold when they come back: none gets more then than the rule allows, chance aside (N + 3 x root of
+/// N + 3), and they are served at least half of what the rule lets through. (It was 0.4 of all that was asked for, which
+/// was reached by 63 and 42 calls in spans in which 37 and 32 are allowed.)
 #[test]
 fn half_of_the_partners_slow_at_once_do_not_take_the_slots_of_the_others() {
-    let slow = |ms, _| if (3000.0..8000.0).contains(&ms) { Never } else { After(60.0) };
-    let slower = |ms, _| if (3000.0..8000.0).contains(&ms) { After(1500.0) } else { After(60.0) };
+    const SLOW: (f64, f64) = (3000.0, 8000.0);
+    const RATE: f64 = 12.0;
+    const END: f64 = 12000.0;
+    let slow = |ms, _| if (SLOW.0..SLOW.1).contains(&ms) { Never } else { After(60.0) };
+    let slower = |ms, _| if (SLOW.0..SLOW.1).contains(&ms) { After(1500.0) } else { After(60.0) };
     let well = |_, _| After(60.0);
     let partners: Vec<Partner> = [slow, slow, slower]
-        .map(|reply| partner(12.0, reply))
+        .map(|reply| partner(RATE, reply))
         .into_iter()
         .chain((0..3).map(|_| partner(20.0, well)))
         .collect();
-    let ends = play(operators(), &partners, |n| usize::from(n % 3 == 0), 12000.0);
+    let s = operators();
+    let (ends, sent) = play_and_note(s.clone(), &partners, |n| usize::from(n % 3 == 0), END);
     println!("{:.3}, the well ones {:.3} {ends:?}", share(&ends), share(&ends[3..]));
     assert!(share(&ends[3..]) >= 0.98, "{}: {ends:?}", share(&ends[3..]));
-    assert!(share(&ends[..3]) >= 0.4, "{}: {ends:?}", share(&ends[..3]));
+    for (partner, sent) in sent.iter().take(2).enumerate() {
+        for from in sent.iter().filter(|at| **at >= SLOW.1) {
+            let span = (*from, from + s.fall_ms);
+            let calls = sent.iter().filter(|at| (span.0..span.1).contains(*at)).count() as f64;
+            let n = allowed(&s, RATE, SLOW.1, span);
+            assert!(
+                calls <= n + 3.0 * n.sqrt() + 3.0,
+                "{partner}: {calls} calls from {from} on, {n} allowed"
+            );
+        }
+    }
+    let before = RATE * (SLOW.0 - 1000.0) / 1000.0;
+    let lets_through = (before + allowed(&s, RATE, SLOW.1, (SLOW.1, END))) / (RATE * (END - 1000.0) / 1000.0);
+    assert!(share(&ends[..3]) >= lets_through / 2.0, "{} of {lets_through}: {ends:?}", share(&ends[..3]));
 }
 
 /// Connections of the busiest partner fall silent, one call in eight, while its others deliver: what was lost must not fill
