--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,7 +1,8 @@
 //! The list of hosts: fetched once, then watched without a gap. On a failure the list held stays in force. The
 //! agent may move: from then on the new one is asked, and first for the whole list.
 
-use crate::conn::{backoff, bytes, Conn};
+use crate::conn::{bytes, Conn};
+use crate::schedule::Calls;
 use hyper::{Request, StatusCode};
 use mulleinslip_membership::List;
 use std::fmt;
@@ -10,31 +11,11 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// How long one watch may wait where calls cost something. Short, as an agent that has fallen silent shows only when this is
-/// over: what it missed then counts as told 2 s after the wait.
-const WATCH: Duration = Duration::from_millis(5000);
-/// And where calls are free: what was missed counts as told 6 s after the silence began, and this with [`GRACE`], a pause and
-/// a connection that is lost once stays well within that, in the worst order of events.
-const FREE_WATCH: Duration = Duration::from_millis(2000);
-const GRACE: Duration = Duration::from_millis(1000);
+/// How long the body of a list may take once its head has come.
+const BODY: Duration = Duration::from_millis(1000);
 const CONNECT: Duration = Duration::from_millis(1000);
 /// A list is read this far where nothing else is said, in bytes: thousands of hosts.
 pub const MOST_LIST: usize = 1 << 20;
-/// A list that is longer than what is read stays so for long, and each call for it costs what the sockets hold of it: some
-/// 130 kB. Between such calls, so that they cost 6 kB a second at most.
-const TOO_LARGE_MS: (u64, u64) = (40_000, 300_000);
-/// Between failed calls. An agent that is back has news that counts as told at once, and hosts are to be left alone 250 ms
-/// later.
-const RETRY_MS: (u64, u64) = (50, 150);
-/// From so many relays on, calls for a list that has to be asked for are dear: discovery takes one from each in some 2 to 8 s
-/// and turns away what it could not answer within its time-outs. What is asked again before it was answered keeps all the
-/// others waiting.
-const CROWD: usize = 8;
-/// Then a call is waited for this long, and comes again after these times.
-const CROWD_GRACE: Duration = Duration::from_millis(6000);
-const CROWD_SPREAD_MS: u64 = 4000;
-const CROWD_RETRY_MS: (u64, u64) = (2000, 16000);
-
 /// So many answers in a row that are older than the list held mean that discovery began its count anew.
 const OLDER_IN_A_ROW: u32 = 3;
 
@@ -51,27 +32,6 @@
     }
 }
 
-/// What a call for the list costs. It decides when to ask, and how long to wait.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Calls {
-    /// Nothing: the list is pushed to an agent on the relay's own machine, which answers at once. What the agent has counts
-    /// as told to the relay, so each moment without a call out is one in which a host may leave unheard.
-    Free,
-    /// Time of a discovery that many relays share: calls are spread and seldom.
-    Dear,
-}
-
-impl Calls {
-    /// Of one of so many relays, where the list is pushed or has to be asked for.
-    pub fn of(relays: usize, asked_for: bool) -> Calls {
-        if asked_for && relays >= CROWD {
-            Calls::Dear
-        } else {
-            Calls::Free
-        }
-    }
-}
-
 /// Why a call for the list told nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Unheard {
@@ -123,46 +83,34 @@
         Discovery { most, ..self }
     }
 
-    fn dear(&self) -> bool {
-        self.calls == Calls::Dear
-    }
-
-    fn wait(&self) -> Duration {
-        if self.dear() {
-            WATCH
-        } else {
-            FREE_WATCH
-        }
-    }
-
     /// How long a process that starts waits with its first call: many relays may start at once, as in a release.
     pub fn spread(&self) -> Duration {
-        let most = if self.dear() { CROWD_SPREAD_MS } else { 0 };
-        Duration::from_millis(fastrand::u64(0..=most))
+        self.calls.spread(fastrand::f64())
     }
 
     /// The version to ask from at a start that knows a list of this one. A whole list and then a watch are two calls: among
     /// many relays the watch has to do, which tells what was missed. An older answer to that first call is believed: the list
     /// known may come from another agent, whose versions need not agree with this one's.
     pub fn start_after(&self, known: u64) -> Option<u64> {
-        self.dear().then_some(known)
+        (self.calls == Calls::Dear).then_some(known)
     }
 
     /// The whole list (`after` is `None`), or what is newer than that version.
     pub async fn ask(&mut self, after: Option<u64>) -> Result<List, Unheard> {
         let path = match after {
             None => "/catalog/members".to_string(),
-            Some(index) => format!("/catalog/members?after={index}&wait_ms={}", self.wait().as_millis()),
+            Some(index) => {
+                format!("/catalog/members?after={index}&wait_ms={}", self.calls.watch().as_millis())
+            }
         };
-        let patience = if self.dear() { CROWD_GRACE } else { GRACE };
-        let within = patience + after.map_or(Duration::ZERO, |_| self.wait());
+        let within = self.calls.patience() + after.map_or(Duration::ZERO, |_| self.calls.watch());
         let mut conn = match self.conn.take().filter(Conn::usable) {
             Some(conn) => conn,
             None => Conn::open(self.address, CONNECT).await.map_err(|e| e.to_string())?,
         };
         let request = Request::get(path).header("Host", self.address.to_string()).body(bytes(""));
         let request = request.map_err(|e| e.to_string())?;
-        let answer = tokio::time::timeout(within, conn.exchange(request, GRACE, self.most))
+        let answer = tokio::time::timeout(within, conn.exchange(request, BODY, self.most))
             .await
             .map_err(|_| "no answer in time".to_string())?
             .map_err(|e| e.to_string())?;
@@ -222,12 +170,9 @@
                     if failures == 0 {
                         eprintln!("mulleinslip: discovery: {e}; the list held stays in force");
                     }
-                    let pause = match e {
-                        Unheard::TooLarge { .. } => TOO_LARGE_MS,
-                        Unheard::Failed(_) if self.dear() => CROWD_RETRY_MS,
-                        Unheard::Failed(_) => RETRY_MS,
-                    };
-                    let _moved_or_not = timeout(backoff(failures, pause), place.changed()).await;
+                    let too_large = matches!(e, Unheard::TooLarge { .. });
+                    let pause = self.calls.pause(failures, too_large, fastrand::f64());
+                    let _moved_or_not = timeout(pause, place.changed()).await;
                     failures = failures.saturating_add(1);
                 }
             }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,14 +15,16 @@
 mod intake;
 mod notices;
 mod outcomes;
+mod schedule;
 
 pub use answer::{Answer, Ticket};
 pub use carrier::{CarrierSettings, HttpCarrier};
 pub use clients::{Clients, Passed};
-pub use discovery::{Calls, Discovery, Unheard, MOST_LIST};
+pub use discovery::{Discovery, Unheard, MOST_LIST};
 pub use front::HttpFront;
 pub use handle::Handle;
 pub use intake::{Away, Intake};
 pub use mulleinslip_membership::{Entry, List, ListNames, Status};
 pub use notices::{run as run_notices, Notice};
 pub use outcomes::{retry_after_ms, Meaning};
+pub use schedule::Calls;
