--- /dev/null
+++ b/crates/http/src/intake/tests.rs
@@ -0,0 +1,19 @@
+use super::order_key;
+
+#[test]
+fn the_key_of_an_ordered_message_is_read_from_the_path_or_else_from_the_query() {
+    let rows: &[(&str, &str, Option<&str>)] = &[
+        ("/orders/00081cea", "", Some("00081cea")),
+        ("/orders/a/b", "", Some("a/b")),
+        ("/orders/a", "about=b", Some("a")),
+        ("/orders", "x=1&about=b", Some("b")),
+        ("/orders/", "about=b", Some("b")),
+        ("/orders/", "about=", None),
+        ("/orders", "", None),
+        ("/", "", None),
+        ("", "", None),
+    ];
+    for (path, query, key) in rows {
+        assert_eq!(order_key(path, query).as_deref(), *key, "{path}?{query}");
+    }
+}
