Tests: a late delivery over a takeover, and messages with 1 to 50 ms left

Change: two tests in daemon/tests/late.rs. Measured: both pass; the first would wait for a notice for good without Engine::delivered_late, as its sisters do.

--- a/crates/daemon/tests/late.rs
+++ b/crates/daemon/tests/late.rs
@@ -56,3 +56,40 @@
     host.wait_reuse(&relay, 1);
     assert!(agent.all_notices().is_empty());
 }
+
+/// The call is out in the old process when a new one goes on for it: the new one tells.
+#[test]
+fn a_late_delivery_of_a_call_that_is_out_at_a_takeover_is_told() {
+    let host = Host::new(|_, _| Reply::Late(ANSWER_MS));
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let mut old = Relay::start(PROGRAM, &agent);
+    assert_eq!(old.client().hand_in("unsafe", "m", 1, BUDGET_MS, b"order").status(), 202);
+    host.wait_calls(1);
+    let _new = old.beside();
+    agent.wait_notice("m");
+    assert_eq!(host.calls_of("m"), 1);
+}
+
+/// With hardly any time left a message is turned away at once, or taken on and ended; none is left without an end.
+#[test]
+fn a_message_with_little_time_left_has_its_end() {
+    let host = Host::new(|_, n| if n.is_multiple_of(3) { Reply::Late(15) } else { Reply::Status(200) });
+    let agent = Agent::new(&[("a", 1, &host)]);
+    let relay = Relay::start(PROGRAM, &agent);
+    relay.take_once_listed("safe", "first", 1);
+    let mut client = relay.client();
+    let mut taken = Vec::new();
+    for (n, budget_ms) in (1..=50).enumerate() {
+        let class = ["safe", "unsafe", "ordered/k"][n % 3];
+        let id = format!("m{budget_ms}");
+        match client.hand_in(class, &id, 1, budget_ms, b"order").status() {
+            202 => taken.push(id),
+            status => assert_eq!(status, 503, "{id}"),
+        }
+    }
+    assert!(taken.len() > 10, "{} taken on", taken.len());
+    for id in taken {
+        agent.wait_notice(&id);
+        assert!(host.calls_of(&id) <= 1, "{id}");
+    }
+}
