Trials in a row after an outage with errors keep to what a ramp bears

Cause: after frequent errors three trials in a row prove a return, and Relay::back let the second and third go at once: 90 calls from 30 relays, where 51 are allowed, 67 with chance.

Change: there the next trial waits until a ramp would bear it. Other kinds of outage go as before.

--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -229,10 +229,8 @@
         let warm = ((self.now - since) / s.warm_after_ms).clamp(0.0, 1.0);
         let able = s.cold_share + (1.0 - s.cold_share) * warm;
         let usual = lane.usual.rate(self.now).max(lane.before).max(self.part(lane).unwrap_or(0.0));
-        // What it delivers just now it can do, whatever the clock says: slowness is no outage. It gets no
-        // multiple of that: an overload that is delivered proves no capacity, and would prove the next one.
-        let shown = lane.soon.rate(self.now);
-        (s.fall_multiple * able * usual).max(shown) * s.fall_ms / 1000.0
+        // What it delivers now it may get again: slowness is no outage. A multiple would prove itself.
+        (s.fall_multiple * able * usual).max(lane.soon.rate(self.now)) * s.fall_ms / 1000.0
     }
 
     /// When the lane may take a call: now, or at a later time (`f64::MAX`: not before something happens).
@@ -306,9 +304,11 @@
     /// A trial call or probe succeeded: after that, the lane is taken to be back, and cold.
     fn back(&mut self, id: &LaneId, out: &mut Vec<Action>) {
         let now = self.now;
+        // Three at once from each of many relays are more than a ramp: they go as fast as it bears.
+        let bears = self.f.lanes.get(id).filter(|l| l.answers).map_or(f64::MAX, |l| self.bears(l, now));
         let Some(l) = self.f.lanes.get_mut(id) else { return };
         l.good += 1;
-        l.trial_at = now;
+        l.trial_at = now + (self.s.fall_ms / bears.max(1e-9)).min(self.s.warm_after_ms);
         // Where calls fail at random, one success proves little.
         let enough = if l.answers { GOODS.1 } else { GOODS.0 };
         if l.good >= if l.share > 0.5 { enough } else { 1 } {
--- a/crates/linenhall/tests/cold.rs
+++ b/crates/linenhall/tests/cold.rs
@@ -107,3 +107,25 @@
     }
     assert!(bad.is_empty(), "over what is allowed: {bad:?}");
 }
+
+/// Whatever the outage looked like from outside: its kind shows in how calls end, and the destination is as cold after each.
+///
+/// After an outage that answered with errors, 30 relays sent 1.52 times what is allowed: there three trials in a row have to be
+/// delivered, and the second and third went at once. Three from each of 30 relays are 90 calls, where 51 are allowed (67 with
+/// chance) in the span.
+#[test]
+fn so_it_is_after_outages_of_other_kinds() {
+    let kinds =
+        [(Outcome::TimedOut, 2500.0), (Outcome::Error, 5.0), (Outcome::Full, 5.0), (Outcome::Broken, 30.0)];
+    let mut bad = Vec::new();
+    for kind in kinds {
+        for relays in [1, 2, 4, 8, 30, 100] {
+            let worst = (0..6).map(|seed| most(&calls_after(kind, relays, seed))).fold(0.0, f64::max);
+            println!("{:?}, {relays} relays: {worst:.2} at most", kind.0);
+            if worst > 1.0 {
+                bad.push((kind.0, relays, worst));
+            }
+        }
+    }
+    assert!(bad.is_empty(), "over what is allowed: {bad:?}");
+}
