The test kit's files import one another by name, not from the root

Cause: host.rs, agent.rs and relay.rs took `crate::{...}`, which closes circles that no name shows, and Host::wait_reuse named Relay.

Arrows: relay to agent, host and wire; agent to host and wire; host to wire.

--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -1,6 +1,7 @@
 //! Discovery's agent: serves the list, its watches and notices.
 
-use crate::{hear, response, until, Host};
+use crate::host::{response, Host};
+use crate::wire::{hear, until};
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/testkit/src/host.rs
+++ b/crates/testkit/src/host.rs
@@ -1,6 +1,6 @@
 //! Hosts: listeners that give scripted replies to calls and note what they heard.
 
-use crate::{hear, until, Heard, Relay};
+use crate::wire::{hear, until, Heard};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -164,19 +164,6 @@
         self.heard().iter().filter(|h| h.id() == id).count()
     }
 
-    /// Hands in plain messages until one comes on a connection that carried another: the answer to that one,
-    /// and to what came before it, has been read.
-    pub fn wait_reuse(&self, relay: &Relay, dest: u64) {
-        let start = self.heard().len();
-        until("a connection used again", || {
-            let before = self.heard().len();
-            relay.take("safe", &format!("again-{before}"), dest);
-            let calls = self.wait_calls(before + 1);
-            let last = calls[before].conn;
-            calls[start..before].iter().any(|c| c.conn == last).then_some(())
-        });
-    }
-
     pub fn wait_calls(&self, count: usize) -> Vec<Heard> {
         until(&format!("{count} calls"), || Some(self.heard()).filter(|h| h.len() >= count))
     }
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -1,6 +1,8 @@
 //! The relay's program as a process, its second address, and clients of it.
 
-use crate::{hear, until, Agent, Heard, PATIENCE};
+use crate::agent::Agent;
+use crate::host::Host;
+use crate::wire::{hear, until, Heard, PATIENCE};
 use serde_json::{json, Value};
 use std::borrow::Cow;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -41,14 +43,6 @@
     }
 }
 
-/// The program as built along with a test or benchmark of its package.
-#[macro_export]
-macro_rules! program {
-    () => {
-        $crate::Program::built(env!("CARGO_BIN_EXE_mulleinslip"), env!("CARGO_TARGET_TMPDIR"))
-    };
-}
-
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// Calls a second address and gives the whole answer.
@@ -259,3 +253,18 @@
         self.answer().expect("an answer")
     }
 }
+
+impl Host {
+    /// Hands in plain messages until one comes on a connection that carried another: the answer to that one,
+    /// and to what came before it, has been read.
+    pub fn wait_reuse(&self, relay: &Relay, dest: u64) {
+        let start = self.heard().len();
+        until("a connection used again", || {
+            let before = self.heard().len();
+            relay.take("safe", &format!("again-{before}"), dest);
+            let calls = self.wait_calls(before + 1);
+            let last = calls[before].conn;
+            calls[start..before].iter().any(|c| c.conn == last).then_some(())
+        });
+    }
+}
