--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -1,7 +1,8 @@
 //! Interface: src/interface.rs. All decisions of linenhall; why each is as it is: docs/design.md.
 //!
-//! Parts: worth, endpoints and lanes, attempts, hold, discovery, release (Most Credit First), ends of time.
-//! A lane shares one limit and health: a whole destination, or one endpoint where these are routes apart.
+//! Parts, in this order: worth, endpoints and lanes (health, pacing, return), attempts and outcomes, the
+//! hold, discovery, release (Most Credit First), ends of time. A lane is what shares one limit and health:
+//! a whole destination, or one endpoint where the endpoints are routes apart.
 //!
 //! No event walks over what is held, out or listed: what changes marks its lane and destination, these are
 //! looked at again before the round ends, and what time alone changes stands in an [`Agenda`].
@@ -35,7 +36,6 @@
 const GROW: f64 = 1.25; // a pace grows up to this multiple of what was delivered of late
 const SPARE: f64 = 0.85; // left of the limit, with which a refusal is the endpoint's own
 const SHUN_MS: f64 = 3000.0; // in the mean, of an endpoint that refuses while much of the limit is left
-const SHOWN: f64 = 0.65; // of what a destination delivers now, taken for its capacity where calls are few
 const SOON_MS: f64 = 2000.0; // the short memory for rates
 const LONG_MS: f64 = 15000.0; // the long one
 const KEEP_MS: f64 = 300.0; // an idle connection is kept if the next call on it is expected this soon
@@ -222,16 +222,15 @@
         self.s.relays as f64 >= CROWD
     }
 
-    /// What a lane that came back bears in one span, as this relay's part: a multiple of what it can do cold.
+    /// What a lane that came back bears in one span of the rule, as this relay's part: a multiple of what it
+    /// can do cold, growing as it warms, judged by what this relay usually delivered there before.
     fn bears(&self, lane: &Lane, since: f64) -> f64 {
         let s = &self.s;
         let warm = ((self.now - since) / s.warm_after_ms).clamp(0.0, 1.0);
         let able = s.cold_share + (1.0 - s.cold_share) * warm;
         let usual = lane.usual.rate(self.now).max(lane.before).max(self.part(lane).unwrap_or(0.0));
-        let known = s.fall_multiple * able * usual * s.fall_ms / 1000.0;
-        // What it delivers now it may get again: slowness is no outage. More would prove itself in each span.
-        let times = if known < 1.0 { SHOWN * s.fall_multiple } else { 1.0 };
-        known.max(times * lane.soon.rate(self.now) * s.fall_ms / 1000.0)
+        // What it delivers now it may get again: slowness is no outage. A multiple would prove itself.
+        (s.fall_multiple * able * usual).max(lane.soon.rate(self.now)) * s.fall_ms / 1000.0
     }
 
     /// When the lane may take a call: now, or at a later time (`f64::MAX`: not before something happens).
@@ -302,13 +301,14 @@
         (l.good, l.probe_good) = (0, false);
     }
 
-    /// A trial succeeded: then the lane is back, and cold. Three at once from many relays are over its ramp.
+    /// A trial call or probe succeeded: after that, the lane is taken to be back, and cold.
     fn back(&mut self, id: &LaneId, out: &mut Vec<Action>) {
         let now = self.now;
+        // Three at once from each of many relays are more than a ramp: they go as fast as it bears.
         let bears = self.f.lanes.get(id).filter(|l| l.answers).map_or(f64::MAX, |l| self.bears(l, now));
         let Some(l) = self.f.lanes.get_mut(id) else { return };
         l.good += 1;
-        l.trial_at = now + (self.s.fall_ms / bears.max(1e-9)).min(TRIAL_CROWD_MS);
+        l.trial_at = now + (self.s.fall_ms / bears.max(1e-9)).min(self.s.warm_after_ms);
         // Where calls fail at random, one success proves little.
         let enough = if l.answers { GOODS.1 } else { GOODS.0 };
         if l.good >= if l.share > 0.5 { enough } else { 1 } {
