The bound on a plug-in test's wait is made inside the runtime

Seen: with a_dropped_future_... failed at once, each time: the timer was made outside a runtime, which panics.

Change: the timer is made inside.

--- a/crates/tower/tests/hard.rs
+++ b/crates/tower/tests/hard.rs
@@ -86,11 +86,14 @@
             })
             .collect();
         let there = || partner.heard().len() - before;
-        let all_there = runtime.block_on(tokio::time::timeout(Duration::from_secs(15), async {
-            while there() < 3 {
-                tokio::time::sleep(Duration::from_millis(2)).await;
-            }
-        }));
+        let all_there = runtime.block_on(async {
+            let come = async {
+                while there() < 3 {
+                    tokio::time::sleep(Duration::from_millis(2)).await;
+                }
+            };
+            tokio::time::timeout(Duration::from_secs(15), come).await
+        });
         let ended = calls.iter().filter(|c| c.is_finished()).count();
         assert!(all_there.is_ok(), "round {round}: {} of 3 calls came, {ended} have ended", there());
         calls.iter().for_each(|c| c.abort());
