Review: a silent watch of a list that is asked for is given up 5 s too late

Change: review/2: the one open watch falls silent as a host drains; the relay sends on to the host's address when it counts as told, and a host of another destination stands there.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,11 +6,11 @@
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
 trap 'rm -rf "$CASE_TMP"' EXIT
-if [ ! -x "$ROOT/target/review/refused_after_run" ] || [ ! -x "$ROOT/target/release/mulleinslip" ]; then
+if [ ! -x "$ROOT/target/review/silent_watch" ] || [ ! -x "$ROOT/target/release/mulleinslip" ]; then
     echo "cannot run: build the deploy file and run review/build.sh first" >&2
     exit 2
 fi
-"$ROOT/target/review/refused_after_run" "$here/record.txt"
+"$ROOT/target/review/silent_watch" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review"
-for name in tombstones refused_after_run second_copy; do
+for name in tombstones silent_watch refused_after_run second_copy; do
     rustc --edition 2021 -O -A warnings -o "$root/target/review/$name" "$root/review/standins/$name.rs"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -187,7 +187,8 @@
 
 impl Agent {
     pub fn start(record: &Record, index: u64, entries: Vec<Entry>) -> Agent {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("agent: {e}")));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("agent: {e}")));
         let state = AgentState { index, entries, ..AgentState::default() };
         let agent = Agent {
             address: listener.local_addr().unwrap(),
@@ -308,7 +309,9 @@
                 let index = state.index;
                 state.told.push((index, Instant::now()));
                 let rows: Vec<String> = match after {
-                    Some(after) => state.entries.iter().filter(|e| e.changed > after).map(Entry::json).collect(),
+                    Some(after) => {
+                        state.entries.iter().filter(|e| e.changed > after).map(Entry::json).collect()
+                    }
                     None => state.entries.iter().filter(|e| e.status != "left").map(Entry::json).collect(),
                 };
                 return Some(list_json(index, after.is_none(), &rows));
@@ -353,8 +356,12 @@
                 let _only_slower = stream.set_nodelay(true);
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read_message(&mut reader) {
-                    let call =
-                        Call { at: Instant::now(), address, id: request.header("x-call-id").to_string(), conn };
+                    let call = Call {
+                        at: Instant::now(),
+                        address,
+                        id: request.header("x-call-id").to_string(),
+                        conn,
+                    };
                     if !serve(&call, reader.get_mut()) {
                         return;
                     }
@@ -388,31 +395,31 @@
 }
 
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| cannot_run(&e.to_string()))
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| cannot_run(&e.to_string()))
 }
 
 impl Place {
     /// `known` is a list as JSON; `discovery_mode` is `push` or `ask`; `balancers` the number of relays of the
     /// deployment.
-    pub fn create(record: &Record, discovery: SocketAddr, known: &str, discovery_mode: &str, balancers: usize) -> Place {
+    pub fn create(
+        record: &Record, discovery: SocketAddr, known: &str, discovery_mode: &str, balancers: usize,
+    ) -> Place {
         let root = std::env::var("ROOT").map(PathBuf::from).unwrap_or_else(|_| ".".into());
         let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml"))
             .unwrap_or_else(|e| cannot_run(&format!("deploy file: {e}")));
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.split('"').next().map(String::from));
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \"")?.split('"').next().map(String::from));
         let run = run.unwrap_or_else(|| cannot_run("the deploy file has no run line"));
         let folder = PathBuf::from(
-            std::env::var("CASE_TMP").unwrap_or_else(|_| cannot_run("CASE_TMP, the temporary folder, is not set")),
+            std::env::var("CASE_TMP")
+                .unwrap_or_else(|_| cannot_run("CASE_TMP, the temporary folder, is not set")),
         );
         let listen = free_address();
-        let place = Place {
-            folder,
-            root,
-            listen,
-            run,
-            record: record.clone(),
-            starts: AtomicU64::new(0),
-            discovery,
-        };
+        let place =
+            Place { folder, root, listen, run, record: record.clone(), starts: AtomicU64::new(0), discovery };
         std::fs::create_dir_all(place.folder.join("state")).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let class = |name: &str, effect: &str, aim: f64, deadline: f64, window: f64, points: f64| {
             format!(
@@ -446,7 +453,8 @@
              \"WorthBy\":\"request\",\"Zone\":0,\"Zones\":[\"z\"]}}}}",
             classes.join(",")
         );
-        std::fs::write(place.folder.join("config.json"), config).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        std::fs::write(place.folder.join("config.json"), config)
+            .unwrap_or_else(|e| cannot_run(&e.to_string()));
         place
     }
 
@@ -491,7 +499,9 @@
     }
 
     /// Hands in a message every `pause`, for these destinations in turn, until the returned flag is set.
-    pub fn traffic(self: &Arc<Self>, class: &'static str, prefix: &'static str, dests: Vec<u64>, pause: Duration) -> Arc<AtomicBool> {
+    pub fn traffic(
+        self: &Arc<Self>, class: &'static str, prefix: &'static str, dests: Vec<u64>, pause: Duration,
+    ) -> Arc<AtomicBool> {
         let (place, over) = (self.clone(), Arc::new(AtomicBool::new(false)));
         let stop = over.clone();
         spawn(move || {
@@ -509,7 +519,9 @@
         let mut get = || -> Option<bool> {
             let mut stream = TcpStream::connect(self.listen).ok()?;
             stream.set_read_timeout(Some(ms(1000))).ok()?;
-            stream.write_all(b"GET /_health HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n").ok()?;
+            stream
+                .write_all(b"GET /_health HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n")
+                .ok()?;
             let answer = read_message(&mut BufReader::new(stream))?;
             Some(answer.line.contains(" 200"))
         };
--- a/review/standins/refused_after_run.rs
+++ b/review/standins/refused_after_run.rs
@@ -39,7 +39,8 @@
                 return stream.write_all(OK).is_ok();
             }
             if !call.id.is_empty() {
-                record.line(&format!("host of destination {dest}: {} received and booked; no answer", call.id));
+                record
+                    .line(&format!("host of destination {dest}: {} received and booked; no answer", call.id));
                 booked.lock().unwrap().entry(call.id.clone()).or_insert(call.at);
             }
             // The host hangs: it takes calls and answers none.
@@ -81,7 +82,11 @@
             })
             .collect();
         let taken: Vec<u16> = clients.into_iter().map(|client| client.join().unwrap_or(0)).collect();
-        record.line(&format!("round {round}: {} of {} taken on", taken.iter().filter(|s| **s == 202).count(), taken.len()));
+        record.line(&format!(
+            "round {round}: {} of {} taken on",
+            taken.iter().filter(|s| **s == 202).count(),
+            taken.len()
+        ));
         if trouble() {
             // A new version is started so that it takes over while the time of the clump ends, which takes some
             // 20 ms.
--- a/review/standins/tombstones.rs
+++ b/review/standins/tombstones.rs
@@ -143,7 +143,11 @@
             };
             let arrived = calls.iter().any(|c| c.id == call.id && group_at(c.address) == dest);
             let ended = !agent.notices_of(&call.id).is_empty();
-            let fate = if arrived || ended { "" } else { ", and the message reached no host of its own and had no notice" };
+            let fate = if arrived || ended {
+                ""
+            } else {
+                ", and the message reached no host of its own and had no notice"
+            };
             broken.push(format!(
                 "{} for destination {dest} was sent to {}, where s-{n:03} of that destination was, {} ms after the \
                  relay was told that it drains; {who}{fate}",
