--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -2,16 +2,17 @@
 
 use crate::account::UsageLogger;
 use crate::config::{self, Config};
-use crate::membership_updates::MembershipUpdates;
+use crate::membership_updates::{MembershipUpdates, StartingList};
 use crate::process_control::{ProcessControl, ServingParts};
 use crate::takeover::{self, TakenOver, TakeoverServer};
 use mulleinslip_engine::Engine;
 use mulleinslip_http::{
     audit::{self, Step},
-    run_notices, CarrierSettings, Clients, Discovery, FetchError, HttpCarrier, HttpFront, Intake, Ticket,
+    run_notices, CarrierSettings, Clients, Discovery, FetchError, HttpCarrier, HttpFront, Intake, PollCost,
+    Ticket,
 };
 use mulleinslip_journal::Journal;
-use mulleinslip_membership::{Tombstone, View};
+use mulleinslip_membership::View;
 use mulleinslip_runtime::{Clock, Predecessor, Runtime, ShutdownTimes};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -103,24 +104,29 @@
     // the takeover is complete.
     let mut agent =
         Discovery::new(config.discovery, config.poll_cost).with_max_list_bytes(config.max_list_bytes);
-    let start_version = agent.start_version(config.known.index);
-    let start_delay = agent.start_delay();
+    // A full list and then a watch are two calls. Where calls are costly the first one is a watch already, as
+    // that returns what was missed since the list that the process starts from. Its answer may be older than
+    // that list, which may come from another agent with a version count of its own.
+    let polls_sparingly = config.poll_cost == PollCost::Costly;
+    let start_version: Rc<Cell<Option<u64>>> = Rc::default();
+    let (start_delay, asked_from) = (agent.start_delay(), start_version.clone());
     let mut first_request = Box::pin(async move {
         tokio::time::sleep(start_delay).await;
-        let first = agent.fetch(start_version).await;
+        let first = agent.fetch(asked_from.get()).await;
         (agent, first)
     });
-    // A late call continues in the background: repeating it would cost discovery twice.
-    let wait = if start_version.is_some() { Duration::ZERO } else { FIRST_LIST_TIMEOUT };
-    let (agent, first) = match tokio::time::timeout(wait, &mut first_request).await {
-        Ok((agent, first)) => (Some(agent), first),
-        Err(_) => (None, Err(FetchError::Failed("no answer in time".into()))),
-    };
-    // If the relay does not wait for the list, a missing one is no error.
-    let first = first.inspect_err(|e| {
-        if start_version.is_none() {
-            log(&format!("no list from discovery: {e}; starting with the known hosts"));
+    let (agent, first) = if polls_sparingly {
+        (None, None)
+    } else {
+        // A late call continues in the background: repeating it would cost discovery twice.
+        match tokio::time::timeout(FIRST_LIST_TIMEOUT, &mut first_request).await {
+            Ok((agent, first)) => (Some(agent), Some(first)),
+            Err(_) => (None, Some(Err(FetchError::Failed("no answer in time".into())))),
         }
+    };
+    let first = first.transpose().unwrap_or_else(|e| {
+        log(&format!("no list from discovery: {e}; starting with the known hosts"));
+        None
     });
 
     let opened = takeover::open(&config.state, config.disk_bytes).await;
@@ -155,19 +161,20 @@
     runtime.cancel_in_predecessor(move |id, attempt| {
         let _closed = cancel_sender.send((id, attempt));
     });
-    let (agent_lists, index) = takeover::decode_lists(&handover, first.ok(), config.discovery);
-    let tombstones = std::mem::take(&mut recovered.tombstones).into_iter();
-    let tombstones =
-        tombstones.map(|(name, since_ms, agent, index)| Tombstone { name, since_ms, agent, index });
-    *view.borrow_mut() = View::new(tombstones.collect(), config.max_active_destinations);
+    let (agent_lists, index) = takeover::decode_lists(&handover, first, config.discovery);
+    let starting_list = StartingList::new(&mut recovered, config.known, config.discovery);
+    if polls_sparingly {
+        start_version.set(starting_list.version);
+    }
+    *view.borrow_mut() = View::new(starting_list.tombstones, config.max_active_destinations);
     let membership_updates =
         MembershipUpdates::new(view.clone(), runtime.engine(), carrier.clone(), handle.clone(), clock);
-    let lists = membership_updates.initial_lists(config.known, config.discovery, agent_lists);
+    let lists = membership_updates.initial_lists(starting_list.list, config.discovery, agent_lists);
     runtime.restore(lists, recovered, &predecessor);
 
     let (agent_sender, agent_address) = watch::channel(config.discovery);
     spawn_local(run_notices(agent_address.clone(), notice_receiver, handle.clone()));
-    let (mut watched_address, mut index) = (agent_address.clone(), index.or(start_version));
+    let (mut watched_address, mut index) = (agent_address.clone(), index.or(start_version.get()));
     let (first_agent, poll_cost, max_list_bytes) =
         (config.discovery, config.poll_cost, config.max_list_bytes);
     spawn_local(async move {
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -93,14 +93,6 @@
         self.poll_cost.start_delay(fastrand::f64())
     }
 
-    /// Returns the version from which a starting process that knows the list of version `known` asks for
-    /// changes, or `None` for the full list. A full list and then a watch are two calls; where calls are
-    /// costly the watch alone has to do, as it returns what was missed. An older answer to that first call is
-    /// accepted, as the known list may come from another agent, whose version count differs.
-    pub fn start_version(&self, known: u64) -> Option<u64> {
-        (self.poll_cost == PollCost::Costly).then_some(known)
-    }
-
     /// Fetches the full list (`after` is `None`) or waits for changes newer than that version.
     pub async fn fetch(&mut self, after: Option<u64>) -> Result<List, FetchError> {
         let path = match after {
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -2,69 +2,30 @@
 //! them. Records are not synced to disk, as written data survives the end of the process. Each record is
 //! framed by a marker, its length and its checksum, so that a torn or damaged record does not affect others.
 
-use serde::{Deserialize, Serialize};
+mod hosts;
+mod record;
+
+pub use hosts::HostChange;
+pub use record::{AcceptedMessage, GivenUp, OutageRecord, StoredHost, StoredList, TombstoneRecord};
+
+use hosts::HostTable;
+use record::{frame, read_records, Record};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::PathBuf;
 
-const FRAME_MARKER: [u8; 4] = *b"\xf5mj\x01";
-/// Marker, length of the payload and checksum.
-const FRAME_HEADER_BYTES: usize = FRAME_MARKER.len() + 8;
 /// The journal is compacted, which drops the records of ended messages, once it is larger than twice its live
 /// records plus this.
 const MAX_DEAD_BYTES: u64 = 256 * 1024;
-
-/// A message that was accepted.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AcceptedMessage {
-    pub call_id: String,
-    pub class: String,
-    pub tenant: String,
-    pub order_key: Option<String>,
-    pub idempotency_key: Option<Vec<u8>>,
-    /// Deadline for its delivery, wall-clock time in milliseconds.
-    pub due: f64,
-    pub dest: u64,
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-}
-
-/// How a message ends that is given up.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum GivenUp {
-    Undeliverable,
-    Deferred { retry_after_ms: Option<f64> },
-}
-
-#[derive(Debug, PartialEq, Serialize, Deserialize)]
-enum Record {
-    Accepted(u64, AcceptedMessage),
-    /// An attempt is about to be sent: message, attempt number, wall-clock time, endpoint.
-    AttemptBegun(u64, u32, f64, String),
-    /// An attempt has an outcome: message, attempt number, whether it may have run, whether it may still be
-    /// running.
-    Outcome(u64, u32, bool, bool),
-    GivenUp(u64, GivenUp),
-    Ended(u64),
-    /// The outages that the decision module knows of. Replaces any earlier record of this kind.
-    Outages(Vec<OutageRecord>),
-    /// Hosts that were reported as draining or removed. Replaces any earlier record of this kind.
-    Tombstones(Vec<TombstoneRecord>),
-}
-
-/// Destination, endpoint, wall-clock time at which it recovered (if it has), and deliveries per second before
-/// the outage.
-pub type OutageRecord = (u64, String, Option<f64>, f64);
-
-/// Host name, time of the host's last start, the agent that reported it, and the version of that agent's
-/// list.
-pub type TombstoneRecord = (String, f64, String, u64);
+/// Records about hosts may take this fraction (one fifth) of the folder, and twice as much during a
+/// compaction. Into 3 MB fit 4,096 tombstones, and 3,200 hosts beside as many that are leaving.
+const HOSTS_DIVISOR: u64 = 5;
+/// Minimum size of a stored host, in bytes.
+const MIN_HOST_BYTES: u64 = 40;
 
 /// Key of [`Record::Outages`] among the live records. Message numbers start at 1.
 const OUTAGES_ID: u64 = 0;
-/// Key of [`Record::Tombstones`] among the live records. Message numbers never get so high.
-const TOMBSTONES_ID: u64 = u64::MAX;
 
 /// An attempt of a message that an earlier process accepted.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,6 +60,7 @@
     /// The frames of every message that has not ended, which are what compaction writes to a new file.
     live: BTreeMap<u64, Vec<u8>>,
     live_bytes: u64,
+    hosts: HostTable,
     max_bytes: u64,
     /// Space that is reserved for the records of messages that are already accepted.
     reserve_bytes: u64,
@@ -109,54 +71,16 @@
 pub struct RecoveredState {
     pub messages: Vec<RecoveredMessage>,
     pub outages: Vec<OutageRecord>,
+    /// The tombstones, the oldest first.
     pub tombstones: Vec<TombstoneRecord>,
+    /// What [`RecoveredState::hosts`] stands for.
+    pub list: StoredList,
+    /// The listed hosts, sorted by name. Empty unless the stored list is complete.
+    pub hosts: Vec<StoredHost>,
     /// Log lines about damage in the file.
     pub damage_notes: Vec<String>,
 }
 
-fn frame(record: &Record) -> io::Result<Vec<u8>> {
-    let payload = postcard::to_stdvec(record).map_err(io::Error::other)?;
-    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
-    frame.extend_from_slice(&FRAME_MARKER);
-    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    frame.extend_from_slice(&payload);
-    Ok(frame)
-}
-
-/// Returns the record at the start of `bytes` and the length of its frame, if the frame is complete and
-/// undamaged.
-fn unframe(bytes: &[u8]) -> Option<(Record, usize)> {
-    let header = bytes.get(..FRAME_HEADER_BYTES).filter(|h| h.starts_with(&FRAME_MARKER))?;
-    let read_u32 = |at: usize| Some(u32::from_le_bytes(header.get(at..at + 4)?.try_into().ok()?));
-    let (length, checksum) = (read_u32(4)? as usize, read_u32(8)?);
-    let payload = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES.checked_add(length)?)?;
-    if crc32fast::hash(payload) != checksum {
-        return None;
-    }
-    Some((postcard::from_bytes(payload).ok()?, FRAME_HEADER_BYTES + length))
-}
-
-/// Returns all undamaged records. After damage it searches for the next undamaged record. Damage at the end
-/// of the file is a torn tail, left by a process that was killed while it wrote.
-fn read_records(bytes: &[u8], notes: &mut Vec<String>) -> Vec<Record> {
-    let (mut records, mut offset) = (Vec::new(), 0);
-    while offset < bytes.len() {
-        if let Some((record, length)) = unframe(&bytes[offset..]) {
-            records.push(record);
-            offset += length;
-            continue;
-        }
-        let next = (offset + 1..bytes.len()).find(|i| unframe(&bytes[*i..]).is_some());
-        match next {
-            Some(next) => notes.push(format!("journal: {} damaged bytes at {offset} skipped", next - offset)),
-            None => notes.push(format!("journal: torn tail of {} bytes dropped", bytes.len() - offset)),
-        }
-        offset = next.unwrap_or(bytes.len());
-    }
-    records
-}
-
 /// Locks the folder for this process.
 fn lock_folder(folder: &File) -> io::Result<()> {
     folder.try_lock().map_err(|e| match e {
@@ -187,7 +111,7 @@
             other => other?,
         };
         let mut recovered = RecoveredState::default();
-        let records = read_records(&bytes, &mut recovered.damage_notes);
+        let (records, has_damage) = read_records(&bytes, &mut recovered.damage_notes);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         // Files take up space in units of 512 bytes, and there are two files during a compaction.
         let max_bytes = max_bytes.saturating_sub(2 * 512);
@@ -201,12 +125,21 @@
             size,
             live: BTreeMap::new(),
             live_bytes: 0,
+            hosts: HostTable::default(),
             max_bytes,
             reserve_bytes,
         };
         journal.replay(records, &mut recovered)?;
+        if has_damage {
+            // The damaged record may be the departure of a host.
+            journal.hosts.give_up_list()?;
+        }
+        recovered.list = journal.hosts.list().clone();
+        recovered.hosts = journal.hosts.listed_hosts();
+        recovered.tombstones =
+            journal.hosts.tombstones().into_iter().map(|(_, tombstone)| tombstone).collect();
         // Compaction drops damaged records and a torn tail, so that records appended later can be read.
-        if journal.live_bytes != journal.size {
+        if journal.live_size() != journal.size {
             journal.compact()?;
         }
         Ok((journal, recovered))
@@ -253,11 +186,12 @@
                     self.add_live(OUTAGES_ID, &bytes);
                     recovered.outages = outages;
                 }
-                Record::Tombstones(tombstones) => {
-                    self.remove_live(TOMBSTONES_ID);
-                    self.add_live(TOMBSTONES_ID, &bytes);
-                    recovered.tombstones = tombstones;
-                }
+                Record::Tombstones(tombstones) => self.hosts.apply_all_tombstones(tombstones)?,
+                record @ (Record::Host(_)
+                | Record::HostRemoved(_)
+                | Record::Tombstone(..)
+                | Record::TombstoneRemoved(_)
+                | Record::HostList(_)) => self.hosts.apply(record, bytes),
                 Record::AttemptBegun(id, number, at, endpoint) => {
                     let Some(message) = messages.get_mut(&id) else { continue };
                     let (may_have_run, may_run_yet) = (true, true);
@@ -295,8 +229,9 @@
     /// Writes all live records to a new file, which then replaces the old one.
     fn compact(&mut self) -> io::Result<()> {
         let new_path = self.path.with_extension("new");
-        let mut contents = Vec::with_capacity(self.live_bytes as usize);
+        let mut contents = Vec::with_capacity(self.live_size() as usize);
         self.live.values().for_each(|frames| contents.extend_from_slice(frames));
+        self.hosts.write_to(&mut contents);
         let written = fs::write(&new_path, &contents).and_then(|()| fs::rename(&new_path, &self.path));
         if let Err(e) = written {
             let _ignored = fs::remove_file(&new_path);
@@ -307,28 +242,44 @@
         Ok(())
     }
 
-    /// Appends a record. There must then still be space for `spare_bytes`, and for the new file of a
-    /// compaction.
-    fn append(&mut self, id: u64, record: &Record, spare_bytes: u64) -> io::Result<()> {
+    /// Returns the size of all live records, which is what a compacted file has.
+    fn live_size(&self) -> u64 {
+        self.live_bytes + self.hosts.bytes()
+    }
+
+    /// Returns whether the folder was released to another process.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
+    /// Appends frames to the file. There must then still be space for `spare_bytes`, and for the new file of
+    /// a compaction.
+    fn write(&mut self, frames: &[u8], spare_bytes: u64) -> io::Result<()> {
         if self.released {
             return Err(io::Error::other("the state folder was released to another process"));
         }
-        let bytes = frame(record)?;
-        let added = bytes.len() as u64;
-        let fits = |j: &Journal| j.size + added + j.live_bytes + added + spare_bytes <= j.max_bytes;
-        if self.size > 2 * self.live_bytes + MAX_DEAD_BYTES || !fits(self) {
+        let added = frames.len() as u64;
+        let fits = |j: &Journal| j.size + added + j.live_size() + added + spare_bytes <= j.max_bytes;
+        if self.size > 2 * self.live_size() + MAX_DEAD_BYTES || !fits(self) {
             self.compact()?;
         }
         if !fits(self) {
             return Err(io::Error::from(io::ErrorKind::StorageFull));
         }
-        if let Err(e) = self.file.write_all(&bytes) {
+        if let Err(e) = self.file.write_all(frames) {
             // A partial record must not precede the next one.
             self.file.set_len(self.size)?;
             return Err(e);
         }
         self.size += added;
-        if matches!(record, Record::Ended(_) | Record::Outages(_) | Record::Tombstones(_)) {
+        Ok(())
+    }
+
+    /// Appends a record of a message or of the outages.
+    fn append(&mut self, id: u64, record: &Record, spare_bytes: u64) -> io::Result<()> {
+        let bytes = frame(record)?;
+        self.write(&bytes, spare_bytes)?;
+        if matches!(record, Record::Ended(_) | Record::Outages(_)) {
             self.remove_live(id);
         }
         if !matches!(record, Record::Ended(_)) {
@@ -364,16 +315,54 @@
         self.append(OUTAGES_ID, &Record::Outages(outages), self.reserve_bytes / 2)
     }
 
-    /// Records hosts that a later process must not send to, whatever list it starts from.
+    /// Records that a message has ended. It is not recovered by a later process.
+    pub fn record_ended(&mut self, id: u64) -> io::Result<()> {
+        self.append(id, &Record::Ended(id), 0)
+    }
+
+    /// Returns what the stored hosts stand for.
+    pub fn stored_list(&self) -> &StoredList {
+        self.hosts.list()
+    }
+
+    /// Whether a list of so many hosts could fit into the folder.
+    pub fn may_store_hosts(&self, hosts: usize) -> bool {
+        hosts as u64 * MIN_HOST_BYTES <= self.max_bytes / HOSTS_DIVISOR
+    }
+
+    /// Records changes of the hosts, in their order.
     ///
     /// # Errors
-    /// Any error of writing; `StorageFull` if there is no space in the folder.
-    pub fn record_tombstones(&mut self, tombstones: Vec<TombstoneRecord>) -> io::Result<()> {
-        self.append(TOMBSTONES_ID, &Record::Tombstones(tombstones), 0)
+    /// Any error of writing; `StorageFull` if there is no space in the folder. Nothing is recorded then, and
+    /// [`Journal::give_up_list`] must follow if the stored list is a complete one.
+    pub fn record_host_changes(&mut self, changes: Vec<HostChange>) -> io::Result<()> {
+        let (mut records, mut bytes) = (Vec::with_capacity(changes.len()), Vec::new());
+        for change in changes {
+            let record = self.hosts.record(change);
+            let row = frame(&record)?;
+            bytes.extend_from_slice(&row);
+            records.push((record, row));
+        }
+        let size = self.hosts.bytes() as i64 + self.hosts.growth(&records);
+        if size > (self.max_bytes / HOSTS_DIVISOR) as i64 {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        self.write(&bytes, 0)?;
+        records.into_iter().for_each(|(record, row)| self.hosts.apply(record, row));
+        Ok(())
     }
 
-    /// Records that a message has ended. It is not recovered by a later process.
-    pub fn record_ended(&mut self, id: u64) -> io::Result<()> {
-        self.append(id, &Record::Ended(id), 0)
+    /// Drops the stored hosts, as a change of them could not be recorded: the next process then waits for the
+    /// list of an agent. Needs no further space in the folder. While the folder is released nothing is
+    /// written, as the process that has it records its own list.
+    ///
+    /// # Errors
+    /// Any error of writing.
+    pub fn give_up_list(&mut self) -> io::Result<()> {
+        self.hosts.give_up_list()?;
+        if self.released {
+            return Ok(());
+        }
+        self.compact()
     }
 }
--- a/crates/journal/tests/recorded.rs
+++ b/crates/journal/tests/recorded.rs
@@ -1,12 +1,15 @@
 //! Guards against changes of the stored format: a relay reads journals of earlier versions, and during a
 //! takeover two versions run at the same time.
 use mulleinslip_journal::{
-    AcceptedMessage, Attempt, GivenUp, Journal, OutageRecord, RecoveredMessage, TombstoneRecord,
+    AcceptedMessage, Attempt, GivenUp, HostChange, Journal, OutageRecord, RecoveredMessage, StoredHost,
+    StoredList, TombstoneRecord,
 };
 use std::fs;
 use std::path::{Path, PathBuf};
 
+/// Written before hosts were recorded one by one: its last record has all tombstones.
 const SAMPLE: &[u8] = include_bytes!("recorded/journal.bin");
+const SAMPLE_WITH_HOSTS: &[u8] = include_bytes!("recorded/journal-hosts.bin");
 const MAX_BYTES: u64 = 1024 * 1024;
 
 fn empty_folder(name: &str) -> PathBuf {
@@ -52,13 +55,58 @@
     vec![("h9".into(), 1_764_760_000_000.5, "agent-2".into(), 88)]
 }
 
+fn host(name: &str, leaving: bool) -> StoredHost {
+    StoredHost {
+        name: name.into(),
+        address: "10.1.0.18:8000".parse().unwrap(),
+        zone: "a".into(),
+        kind: "m2".into(),
+        destination: 70_000,
+        leaving,
+        weight: 0.5,
+        since_ms: 1_764_760_000_000.5,
+    }
+}
+
+fn complete_list() -> StoredList {
+    StoredList::Complete { agent: "127.0.0.1:8500".into(), index: 88 }
+}
+
+fn host_changes() -> Vec<HostChange> {
+    let listed = |name, leaving| HostChange::Listed(host(name, leaving));
+    let tombstone =
+        |name: &str| HostChange::TombstoneAdded((name.into(), 1_764_760_000_000.5, "agent-2".into(), 88));
+    vec![
+        HostChange::List(StoredList::Incomplete),
+        tombstone("h8"),
+        tombstone("h9"),
+        HostChange::TombstoneRemoved("h8".into()),
+        listed("h1", false),
+        listed("h2", true),
+        listed("h3", false),
+        HostChange::Removed("h3".into()),
+        HostChange::List(complete_list()),
+    ]
+}
+
 /// Guards against a reader that fails on a recorded journal or reads other values from it.
 #[test]
 fn reads_all_values_of_recorded_journal() {
     let folder = empty_folder("recorded-journal-read");
     fs::write(folder.join("journal"), SAMPLE).unwrap();
-    let (_journal, recovered) = Journal::open(folder, MAX_BYTES).unwrap();
+    let (_journal, recovered) = Journal::open(folder.clone(), MAX_BYTES).unwrap();
     assert_eq!(recovered.damage_notes, Vec::<String>::new(), "the undamaged sample was reported as damaged");
+    assert_eq!((recovered.list, recovered.hosts), (StoredList::Never, vec![]));
+    fs::write(folder.join("journal"), SAMPLE_WITH_HOSTS).unwrap();
+    drop(_journal);
+    let (_journal, with_hosts) = Journal::open(folder, MAX_BYTES).unwrap();
+    assert_eq!(with_hosts.damage_notes, Vec::<String>::new(), "the undamaged sample was reported as damaged");
+    assert_eq!(with_hosts.messages, recovered.messages);
+    assert_eq!((with_hosts.outages, with_hosts.tombstones), (outages(), tombstones()));
+    assert_eq!(
+        (with_hosts.list, with_hosts.hosts),
+        (complete_list(), vec![host("h1", false), host("h2", true)])
+    );
     let attempt = |number, at, endpoint: &str, may_have_run, may_run_yet| Attempt {
         number,
         at,
@@ -109,7 +157,7 @@
     journal.record_given_up(302, GivenUp::Deferred { retry_after_ms: None }).unwrap();
     journal.record_ended(303).unwrap();
     journal.record_outages(outages()).unwrap();
-    journal.record_tombstones(tombstones()).unwrap();
+    journal.record_host_changes(host_changes()).unwrap();
     let written = fs::read(folder.join("journal")).unwrap();
-    assert_eq!(written, SAMPLE);
+    assert_eq!(written, SAMPLE_WITH_HOSTS);
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,5 +13,5 @@
 pub use active_set::ActiveSet;
 pub use catalog::{Catalog, Upsert};
 pub use list::{Entry, List, ListNames, Status};
-pub use members::{AppliedUpdate, Members, Tombstone};
-pub use view::View;
+pub use members::{AppliedUpdate, Members, Tombstone, TombstoneChange};
+pub use view::{View, ViewUpdate};
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -8,8 +8,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-/// Maximum number of tombstones; the oldest are dropped. No more hosts than these leave while an agent lags.
-const MAX_TOMBSTONES: usize = 128;
+/// Maximum number of tombstones; the oldest are dropped. Higher than the number of hosts of a large fleet, so
+/// that no more hosts than these leave while an agent lags.
+const MAX_TOMBSTONES: usize = 4096;
 /// Maximum length of a host's or an agent's name in a tombstone. Usual names have ten characters.
 const MAX_NAME_BYTES: usize = 256;
 /// Time for which a host stays leaving when an agent that did not report its departure lists it as active. An
@@ -38,8 +39,17 @@
     pub list: List,
     /// For each host that has moved to another destination: the previous destination and the new one.
     pub moved: Vec<(u64, u64)>,
-    /// Whether [`Members::tombstones`] has changed.
-    pub tombstones_changed: bool,
+    /// The changes of [`Members::tombstones`], in their order.
+    pub tombstones: Vec<TombstoneChange>,
+}
+
+/// A change of the tombstones.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TombstoneChange {
+    /// A tombstone was added. Replaces any earlier tombstone of the host.
+    Added(Tombstone),
+    /// The tombstone of the host of this name was removed.
+    Removed(String),
 }
 
 /// A host that an agent lists as active although a tombstone says that it left.
@@ -56,8 +66,10 @@
     tombstones: BTreeMap<u64, Tombstone>,
     /// The revision that added each host's tombstone.
     revision_by_name: HashMap<String, u64>,
-    /// Number of changes of the tombstones so far.
+    /// Number of tombstones added so far.
     revision: u64,
+    /// The changes of the tombstones by the list that is being applied.
+    tombstone_changes: Vec<TombstoneChange>,
     /// The listed hosts. Those with an unconfirmed return are leaving in it.
     catalog: Catalog,
     unconfirmed: HashMap<String, UnconfirmedReturn>,
@@ -70,6 +82,7 @@
     pub fn from_tombstones(tombstones: Vec<Tombstone>) -> Members {
         let mut members = Members::default();
         tombstones.into_iter().for_each(|tombstone| members.add_tombstone(tombstone));
+        members.tombstone_changes.clear();
         members
     }
 
@@ -93,9 +106,7 @@
     /// leaving in it. Returns the changes.
     pub fn apply_known(&mut self, mut list: List) -> List {
         for entry in list.endpoints.iter_mut().filter(|entry| entry.status == Status::Active) {
-            let tombstone =
-                self.revision_by_name.get(&entry.name).and_then(|revision| self.tombstones.get(revision));
-            if tombstone.is_some_and(|t| entry.since_ms <= t.since_ms) {
+            if self.tombstone_of(&entry.name).is_some_and(|t| entry.since_ms <= t.since_ms) {
                 entry.status = Status::Leaving;
             }
         }
@@ -114,7 +125,6 @@
         if self.agent.replace(agent) != Some(agent) {
             self.unconfirmed.clear();
         }
-        let revision_before = self.revision;
         let List { index, snapshot, endpoints } = list;
         let (mut changes, mut moved) = (Vec::new(), Vec::new());
         if snapshot {
@@ -157,7 +167,7 @@
             self.apply_entry(entry, &mut changes, &mut moved);
         }
         let list = List { index, snapshot: false, endpoints: changes };
-        Some(AppliedUpdate { list, moved, tombstones_changed: self.revision != revision_before })
+        Some(AppliedUpdate { list, moved, tombstones: std::mem::take(&mut self.tombstone_changes) })
     }
 
     /// Applies one entry to the catalog, and adds what it changes to `changes` and `moved`.
@@ -180,10 +190,12 @@
     /// Returns whether an entry that is listed as active contradicts a tombstone, and is not newer than it:
     /// neither the host's start nor the version of the same agent's list is later.
     fn contradicts_tombstone(&self, entry: &Entry, agent: SocketAddr, index: u64) -> bool {
-        let tombstone =
-            self.revision_by_name.get(&entry.name).and_then(|revision| self.tombstones.get(revision));
         let newer = |t: &Tombstone| t.agent == agent.to_string() && index > t.index;
-        tombstone.is_some_and(|t| entry.since_ms <= t.since_ms && !newer(t))
+        self.tombstone_of(&entry.name).is_some_and(|t| entry.since_ms <= t.since_ms && !newer(t))
+    }
+
+    fn tombstone_of(&self, name: &str) -> Option<&Tombstone> {
+        self.revision_by_name.get(name).and_then(|revision| self.tombstones.get(revision))
     }
 
     /// Adds a tombstone for a host that is listed as leaving or is no longer listed.
@@ -194,26 +206,26 @@
     }
 
     fn add_tombstone(&mut self, tombstone: Tombstone) {
-        if tombstone.name.len() > MAX_NAME_BYTES || tombstone.agent.len() > MAX_NAME_BYTES {
+        let is_too_long = tombstone.name.len() > MAX_NAME_BYTES || tombstone.agent.len() > MAX_NAME_BYTES;
+        if is_too_long || self.tombstone_of(&tombstone.name) == Some(&tombstone) {
             return;
         }
         self.revision += 1;
         if let Some(previous) = self.revision_by_name.insert(tombstone.name.clone(), self.revision) {
             self.tombstones.remove(&previous);
         }
+        self.tombstone_changes.push(TombstoneChange::Added(tombstone.clone()));
         self.tombstones.insert(self.revision, tombstone);
         if self.tombstones.len() > MAX_TOMBSTONES {
-            let oldest = self.tombstones.pop_first();
-            if let Some((_, tombstone)) = oldest {
-                self.revision_by_name.remove(&tombstone.name);
-            }
+            let oldest = self.tombstones.first_key_value().map(|(_, tombstone)| tombstone.name.clone());
+            oldest.into_iter().for_each(|name| self.remove_tombstone(&name));
         }
     }
 
     fn remove_tombstone(&mut self, name: &str) {
         if let Some(revision) = self.revision_by_name.remove(name) {
             self.tombstones.remove(&revision);
-            self.revision += 1;
+            self.tombstone_changes.push(TombstoneChange::Removed(name.to_string()));
         }
     }
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -4,10 +4,21 @@
 
 use crate::active_set::ActiveSet;
 use crate::list::{Entry, List, Status};
-use crate::members::{AppliedUpdate, Members, Tombstone};
+use crate::members::{AppliedUpdate, Members, Tombstone, TombstoneChange};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+/// Result of applying an agent's list to the view.
+#[derive(Clone, Debug)]
+pub struct ViewUpdate {
+    /// The changes at active destinations.
+    pub list: List,
+    /// The changes of all listed hosts.
+    pub hosts: Vec<Entry>,
+    /// The changes of the tombstones, in their order.
+    pub tombstones: Vec<TombstoneChange>,
+}
+
 /// The listed hosts and the active destinations. See the module's documentation.
 pub struct View {
     members: Members,
@@ -47,21 +58,25 @@
     pub fn apply_known(&mut self, list: List) -> List {
         self.index = list.index;
         let list = self.members.apply_known(list);
-        self.restrict_to_active(list, &[])
+        self.restrict_to_active(&list, &[])
     }
 
-    /// Applies an agent's list as [`Members::apply`] does. The list that is returned has the changes at
-    /// active destinations only.
-    pub fn apply(&mut self, agent: SocketAddr, list: List, now: f64) -> Option<AppliedUpdate> {
-        let AppliedUpdate { list, moved, tombstones_changed } = self.members.apply(agent, list, now)?;
-        self.index = list.index;
-        let list = self.restrict_to_active(list, &moved);
-        Some(AppliedUpdate { list, moved, tombstones_changed })
+    /// Applies an agent's list as [`Members::apply`] does.
+    pub fn apply(&mut self, agent: SocketAddr, list: List, now: f64) -> Option<ViewUpdate> {
+        let AppliedUpdate { list: changes, moved, tombstones } = self.members.apply(agent, list, now)?;
+        self.index = changes.index;
+        let list = self.restrict_to_active(&changes, &moved);
+        Some(ViewUpdate { list, hosts: changes.endpoints, tombstones })
+    }
+
+    /// Returns the version of the list that was applied last.
+    pub fn index(&self) -> u64 {
+        self.index
     }
 
     /// Restricts changes to active destinations. Activates destinations while there is room, and those to
     /// which a host of an active destination has moved; all hosts of a newly active destination are returned.
-    fn restrict_to_active(&mut self, list: List, moved: &[(u64, u64)]) -> List {
+    fn restrict_to_active(&mut self, list: &List, moved: &[(u64, u64)]) -> List {
         let mut activated: HashSet<u64> = HashSet::new();
         // The module and the carrier know the host in its previous destination: they have to learn that it
         // has moved, and all hosts of the new destination.
@@ -73,21 +88,21 @@
         }
         let mut endpoints: Vec<Entry> =
             activated.iter().flat_map(|to| self.members.catalog().hosts_of(*to)).collect();
-        for entry in list.endpoints {
+        for entry in &list.endpoints {
             if activated.contains(&entry.group) {
                 // The hosts of a newly active destination are in the result already. One that has left was
                 // never passed on.
                 continue;
             }
             if self.active.contains(entry.group) {
-                endpoints.push(entry);
+                endpoints.push(entry.clone());
             } else if entry.status != Status::Left && self.active.has_room() {
                 self.active.insert(entry.group);
                 activated.insert(entry.group);
                 endpoints.extend(self.members.catalog().hosts_of(entry.group));
             }
         }
-        List { endpoints, ..list }
+        List { index: list.index, snapshot: list.snapshot, endpoints }
     }
 
     /// Returns whether a destination is active.
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 /// Copies of the limits in src/members.rs.
-const MAX_TOMBSTONES: usize = 128;
+const MAX_TOMBSTONES: usize = 4096;
 const UNCONFIRMED_RETURN_MS: f64 = 15_000.0;
 
 fn agent(port: u16) -> SocketAddr {
@@ -89,7 +89,8 @@
     let mut members = Members::default();
     members.apply(agent(1), list(1, true, &[("a", Active, 0.0), ("b", Active, 0.0)]), 0.0);
     let update = members.apply(agent(1), list(2, true, &[("a", Active, 0.0)]), 0.0).unwrap();
-    assert!(update.tombstones_changed, "the removal did not add a tombstone");
+    let tombstone = Tombstone { name: "b".into(), since_ms: 0.0, agent: agent(1).to_string(), index: 2 };
+    assert_eq!(update.tombstones, [TombstoneChange::Added(tombstone)], "the removal did not add a tombstone");
     assert_eq!(
         update.list.endpoints.iter().map(|e| (e.name.as_str(), e.status)).collect::<Vec<_>>(),
         [("b", Left)]
@@ -122,6 +123,36 @@
     assert_eq!(apply(&mut next, 1, list(3, true, &[("a", Active, 0.0)]), 0.0), ["a"]);
 }
 
+/// Guards against hosts that come back because only the newest 128 departures were kept: all hosts of the
+/// largest fleet leave, and an agent that lags lists them as active.
+#[test]
+fn no_host_of_the_largest_fleet_is_reactivated_by_a_lagging_agent() {
+    let hosts = |status| {
+        let endpoints = (0..3200).map(|n| entry(&format!("h{n}"), status, 0.0)).collect();
+        List { index: 4, snapshot: true, endpoints }
+    };
+    let mut members = Members::default();
+    members.apply(agent(1), hosts(Active), 0.0);
+    members.apply(agent(1), list(5, true, &[]), 0.0);
+    assert_eq!(apply(&mut members, 2, hosts(Active), 1.0), [""; 0]);
+    let mut next = Members::from_tombstones(members.tombstones());
+    assert_eq!(apply(&mut next, 2, hosts(Active), 1.0), [""; 0]);
+}
+
+/// Guards against unbounded memory: of more departures than there is room for the oldest are dropped, and the
+/// changes say so.
+#[test]
+fn oldest_tombstones_are_dropped_beyond_the_limit() {
+    let mut members = Members::default();
+    let hosts: Vec<Entry> = (0..MAX_TOMBSTONES + 2).map(|n| entry(&format!("h{n}"), Leaving, 0.0)).collect();
+    let update = members.apply(agent(1), List { index: 1, snapshot: true, endpoints: hosts }, 0.0).unwrap();
+    assert_eq!(members.sizes(), [MAX_TOMBSTONES, 0]);
+    assert_eq!(members.tombstones()[0].name, "h2");
+    let dropped: Vec<&TombstoneChange> =
+        update.tombstones.iter().filter(|change| matches!(change, TombstoneChange::Removed(_))).collect();
+    assert_eq!(dropped, [&TombstoneChange::Removed("h0".into()), &TombstoneChange::Removed("h1".into())]);
+}
+
 /// Guards against a tombstone that is dropped too early, unbounded memory, and changes that are not passed
 /// on: two agents list the same history with different lags. No host becomes active after it was reported as
 /// leaving, the number of tombstones stays within its limit, and a copy that applies only the returned
--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -64,10 +64,15 @@
 
     /// Lists many active hosts in one change of the list: name, destination, address.
     pub fn list_all(&self, hosts: impl Iterator<Item = (String, u64, SocketAddr)>) {
+        self.list_all_as("active", hosts);
+    }
+
+    /// Lists many hosts with this status in one change of the list: name, destination, address.
+    pub fn list_all_as(&self, status: &str, hosts: impl Iterator<Item = (String, u64, SocketAddr)>) {
         let rows: Vec<Value> = hosts
             .map(|(name, dest, address)| {
                 json!({"name": name, "address": address.to_string(), "zone": "z", "type": "k",
-                    "group": dest, "status": "active", "weight": 1.0, "since_ms": 0})
+                    "group": dest, "status": status, "weight": 1.0, "since_ms": 0})
             })
             .collect();
         let mut state = self.state.lock().unwrap();
