--- a/crates/account/tests/account.rs
+++ b/crates/account/tests/account.rs
@@ -231,6 +231,7 @@
         first_uncertain_send: None,
         may_be_running: false,
         untried: false,
+        in_flight: true,
     };
     let resumed = Event::AttemptResumed { id: 9, endpoint: "h0".into(), sent: harness.now - 300.0 };
     let (mut actions, events) = (Vec::new(), [restored, resumed]);
--- /dev/null
+++ b/crates/daemon/tests/takeover_of_attempts.rs
@@ -0,0 +1,84 @@
+//! A new process takes over while an attempt is in flight in the old one, which a script stands in for.
+
+use linenhall::Outcome;
+use mulleinslip_takeover::channel::TakeoverListener;
+use mulleinslip_takeover::message::{AttemptEnd, ToNew, ToOld};
+use mulleinslip_testkit::{program, until, Agent, Host, Relay, Reply};
+use std::fs::File;
+use std::net::TcpListener;
+use std::os::fd::AsFd;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time that the message has. Longer than the start of its first attempt takes, shorter than a process that
+/// takes over waits for a frame.
+const BUDGET: Duration = Duration::from_millis(700);
+
+/// Plays the old process to the new one that is about to start: it has one attempt in flight, keeps the folder until the time
+/// of the message is over, and then reports the attempt's end.
+async fn play_old_process(
+    takeover_listener: TakeoverListener, lock: File, listener: TcpListener, outcome: Outcome,
+) {
+    let channel = takeover_listener.accept().await.unwrap();
+    let asked = channel.receive::<ToOld>().await.unwrap();
+    assert!(matches!(asked, Some((ToOld::Ask { .. }, _))), "{asked:?}");
+    // The first message of a journal has this id, and its first attempt this number.
+    let (id, attempt) = (1, 0);
+    channel.send(&ToNew::AttemptsInFlight(vec![(id, attempt)]), None).await.unwrap();
+    tokio::time::sleep(BUDGET).await;
+    lock.unlock().unwrap();
+    channel.send(&ToNew::Ready { drained: false }, Some(listener.as_fd())).await.unwrap();
+    let opened = channel.receive::<ToOld>().await.unwrap();
+    assert!(matches!(opened, Some((ToOld::FolderOpened, _))), "{opened:?}");
+    channel.send(&ToNew::Go, None).await.unwrap();
+    let end = AttemptEnd {
+        id,
+        attempt,
+        took_ms: BUDGET.as_secs_f64() * 1000.0,
+        outcome,
+        settled: false,
+        answered: false,
+        retry_after_ms: 0.0,
+        report: Vec::new(),
+    };
+    let _not_needed_any_more = channel.send(&ToNew::Ended(end), None).await;
+    // Stays until the new process is done with the channel.
+    let _cancelled_or_not = timeout(Duration::from_millis(300), channel.receive::<ToOld>()).await;
+}
+
+/// Guards against a refusal (`deferred`) of a message that its host has received in full: its time ended
+/// between the release of the folder by the old process and the start of the new one. A message that surely
+/// never ran may be refused.
+#[test]
+fn message_whose_time_ends_during_a_takeover_is_refused_only_if_it_never_ran() {
+    let cases = [
+        ("unsafe", Outcome::TimedOut, "undeliverable"),
+        ("keyed", Outcome::TimedOut, "undeliverable"),
+        ("unsafe", Outcome::Full, "deferred"),
+    ];
+    for (class, outcome, status) in cases {
+        let host = Host::new(|_, _| Reply::Silent);
+        let agent = Agent::new(&[("a", 1, &host)]);
+        let mut old = Relay::start(program!(), &agent);
+        let budget_ms = BUDGET.as_millis() as u64;
+        assert_eq!(old.client().submit(class, "m", 1, budget_ms, b"body").status(), 202);
+        host.wait_calls(1);
+        old.child.kill().unwrap();
+        old.child.wait().unwrap();
+        let folder = old.folder.join("state");
+        let listener = TcpListener::bind(old.address).unwrap();
+        let lock = File::open(&folder).unwrap();
+        until("the lock of the folder", || lock.try_lock().ok());
+        let script = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let takeover_listener = TakeoverListener::open(&folder).unwrap();
+                play_old_process(takeover_listener, lock, listener, outcome).await
+            })
+        });
+        let _new = old.beside();
+        assert_eq!(agent.wait_notice("m")["status"], status, "{class}, {outcome:?}");
+        script.join().unwrap();
+        assert_eq!(agent.notices_of("m").len(), 1, "{class}, {outcome:?}");
+    }
+}
--- a/crates/engine/src/engine/restore.rs
+++ b/crates/engine/src/engine/restore.rs
@@ -36,9 +36,12 @@
                 .position(is_in_flight)
                 .map(|index| message.attempts.swap_remove(index));
             let Some(mut event) = self.recover(now, message, !previous.is_running, outputs) else { continue };
-            if let (Some(attempt), Event::RequestRestored { attempts, .. }) = (in_flight, &mut event) {
+            if let (Some(attempt), Event::RequestRestored { attempts, in_flight, .. }) =
+                (in_flight, &mut event)
+            {
                 // The module gives this number to the message's next attempt, which is the resumed one.
                 *attempts = attempt.number;
+                *in_flight = true;
                 resumed.push((id, attempt));
             }
             events.push(event);
@@ -134,6 +137,7 @@
                 .map(|a| (if a.at > now { 0.0 } else { a.at }, a.endpoint.clone())),
             may_be_running: attempts.iter().any(|a| a.may_run_yet),
             untried,
+            in_flight: false,
         })
     }
 }
--- a/crates/linenhall/src/interface.rs
+++ b/crates/linenhall/src/interface.rs
@@ -266,6 +266,8 @@
         /// Whether a restart found it with no attempt begun. It then goes first while it has time. A request
         /// taken over from a process that still runs has waited for its turn there and goes on waiting.
         untried: bool,
+        /// Whether its next attempt is in flight already: [`Event::AttemptResumed`] follows in the same round.
+        in_flight: bool,
     },
     /// The next attempt of a restored request is in flight already: an earlier process completes it, and its
     /// end comes as [`Event::Ended`]. The endpoint is listed.
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -754,7 +754,7 @@
         else {
             return;
         };
-        let Event::RequestRestored { may_be_running, untried, .. } = event else { return };
+        let Event::RequestRestored { may_be_running, untried, in_flight, .. } = event else { return };
         let (id, class, due) = (*id, (*class).min(self.settings.classes.len().saturating_sub(1)), *due);
         let Some(spec) = self.settings.classes.get(class) else { return actions.push(Action::Fail { id }) };
         let arrived_at = (due - spec.deadline_ms).min(self.now);
@@ -784,6 +784,10 @@
         };
         self.messages.insert(id, message);
         self.enqueue(id);
+        // The end of an attempt in flight decides: it may have run, so a refusal would not be safe.
+        if *in_flight {
+            return;
+        }
         if cannot_retry || attempts >= self.settings.max_attempts || self.now >= due - 1.0 {
             self.give_up(id, actions);
         }
--- a/crates/linenhall/tests/learnt_state.rs
+++ b/crates/linenhall/tests/learnt_state.rs
@@ -191,6 +191,7 @@
             first_uncertain_send: None,
             may_be_running: false,
             untried: true,
+            in_flight: true,
         };
         let resumed = Event::AttemptResumed { id: lost, endpoint: "h0".into(), sent: sent_at };
         let learnt = with_learnt.then(|| Event::RestoreLearnt(Box::new(learnt)));
--- a/crates/linenhall/tests/restored_untried.rs
+++ b/crates/linenhall/tests/restored_untried.rs
@@ -22,6 +22,7 @@
         first_uncertain_send,
         may_be_running,
         untried,
+        in_flight: false,
     }
 }
 
--- a/crates/linenhall/tests/streams.rs
+++ b/crates/linenhall/tests/streams.rs
@@ -197,6 +197,7 @@
             first_uncertain_send,
             may_be_running,
             untried,
+            in_flight: false,
         }
     }
 
