--- a/crates/daemon/tests/drains.rs
+++ b/crates/daemon/tests/drains.rs
@@ -174,3 +174,42 @@
         "a call was written to a host that was leaving before its connection came up"
     );
 }
+
+/// Where lists are asked for among many relays, an open watch falls silent, and the host leaves just then. A
+/// change that a silent watch misses counts as told 6 s after it fell silent; the grace of 250 ms and 50 ms
+/// for each of the two limits follow. Guards against a silent watch that is given up after 11 s only: the
+/// messages went to whoever had the address by then.
+#[test]
+fn host_that_leaves_while_a_watch_is_silent_gets_no_call_after_six_seconds() {
+    const TOLD_AFTER: Duration = Duration::from_millis(6000 + 250 + 50 + 50);
+    let play = |relays: usize| {
+        let (leaving, host) = (Host::ok(), Host::ok());
+        let agent = Agent::new(&[("gone", 1, &leaving)]);
+        let mut config = config(agent.address);
+        config["settings"]["Balancers"] = json!(relays);
+        config["settings"]["Discovery"] = json!("ask");
+        config["known"]["endpoints"] = json!([endpoint("gone", 1, &leaving, "active")]);
+        let relay = Relay::with(program!(), config, &agent);
+        // The second watch is the first one that continues another.
+        until("a continued watch", || (agent.watches() > 1).then_some(()));
+        agent.silence();
+        let silent_since = Instant::now();
+        agent.list("gone", 1, leaving.address, "leaving");
+        agent.list("host", 1, host.address, "active");
+        let mut number = 0;
+        while silent_since.elapsed() < TOLD_AFTER + Duration::from_millis(1500) {
+            number += 1;
+            let late = silent_since.elapsed() > TOLD_AFTER;
+            relay.take("safe", &format!("{}-{number}", if late { "late" } else { "early" }), 1);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let late_calls = leaving.received().iter().filter(|call| call.id().starts_with("late")).count();
+        assert_eq!(late_calls, 0, "{relays} relays: calls to a host that has left");
+        assert!(host.received().iter().any(|call| call.id().starts_with("late")), "{relays} relays");
+    };
+    std::thread::scope(|scope| {
+        for relays in [7, 8, 20, 900] {
+            scope.spawn(move || play(relays));
+        }
+    });
+}
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -3,14 +3,16 @@
 //! full list first.
 
 use crate::conn::{bytes, Conn};
-use crate::schedule::PollCost;
+use crate::schedule::{FailureKind, ListCall, PollCost};
+use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use mulleinslip_membership::List;
 use std::fmt;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 /// Time limit for the body of a list once its head has been received.
 const BODY_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -27,11 +29,12 @@
 /// # Errors
 ///
 /// Names both versions.
-fn check_not_older(current: Option<u64>, list: &List) -> Result<(), String> {
+fn check_not_older(current: Option<u64>, list: &List) -> Result<(), FetchError> {
     match current.filter(|current| list.index < *current) {
-        Some(current) => {
-            Err(format!("list version {} is older than the current version {current}", list.index))
-        }
+        Some(current) => Err(FetchError::OlderList(format!(
+            "list version {} is older than the current version {current}",
+            list.index
+        ))),
         None => Ok(()),
     }
 }
@@ -41,6 +44,8 @@
 pub enum FetchError {
     /// No answer, or an unreadable one; the text says why.
     Failed(String),
+    /// The list is older than the current one; the text has both versions.
+    OlderList(String),
     /// The list is longer than the relay reads.
     TooLarge {
         /// Size of the list by its `Content-Length`, in bytes.
@@ -53,7 +58,7 @@
 impl fmt::Display for FetchError {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            FetchError::Failed(why) => f.write_str(why),
+            FetchError::Failed(why) | FetchError::OlderList(why) => f.write_str(why),
             FetchError::TooLarge { size, max_bytes } => {
                 write!(f, "list of {size} bytes exceeds the maximum of {max_bytes} bytes (limits.memory_mb)")
             }
@@ -61,12 +66,32 @@
     }
 }
 
+impl FetchError {
+    fn kind(&self) -> FailureKind {
+        match self {
+            FetchError::Failed(_) => FailureKind::Unanswered,
+            FetchError::OlderList(_) => FailureKind::OlderList,
+            FetchError::TooLarge { .. } => FailureKind::TooLarge,
+        }
+    }
+}
+
 impl From<String> for FetchError {
     fn from(why: String) -> FetchError {
         FetchError::Failed(why)
     }
 }
 
+/// An answered call for the list.
+struct Answer {
+    body: Bytes,
+    /// The connection, for the next call.
+    conn: Conn,
+}
+
+/// A call for the list in flight.
+type PendingCall = Pin<Box<dyn Future<Output = Result<Answer, FetchError>>>>;
+
 /// Client of a discovery agent, with one persistent connection.
 pub struct Discovery {
     address: SocketAddr,
@@ -74,12 +99,50 @@
     poll_cost: PollCost,
     /// Maximum size of a list, in bytes.
     max_bytes: usize,
+    /// Whether the last call was answered, so that the next watch continues it.
+    is_watching: bool,
+    /// A call that took too long. Its answer is accepted until another call takes too long.
+    overdue: Option<PendingCall>,
+}
+
+/// Makes a call for the list, on the connection if there is one.
+async fn call(
+    address: SocketAddr, conn: Option<Conn>, path: String, max_bytes: usize,
+) -> Result<Answer, FetchError> {
+    let mut conn = match conn {
+        Some(conn) => conn,
+        None => Conn::open(address, CONNECT_TIMEOUT).await.map_err(|e| e.to_string())?,
+    };
+    let request = Request::get(path).header("Host", address.to_string()).body(bytes(""));
+    let request = request.map_err(|e| e.to_string())?;
+    let response = conn.exchange(request, BODY_TIMEOUT, max_bytes).await.map_err(|e| e.to_string())?;
+    if response.status != StatusCode::OK {
+        return Err(format!("HTTP status {}", response.status).into());
+    }
+    if let Some(size) = response.oversized_bytes {
+        return Err(FetchError::TooLarge { size, max_bytes });
+    }
+    let body = response.body.ok_or_else(|| "the response body was not received in full".to_string())?;
+    Ok(Answer { body, conn })
+}
+
+/// Waits for the answer to an overdue call; forever if there is none, or if it fails.
+async fn late_answer(overdue: &mut Option<PendingCall>) -> Answer {
+    if let Some(pending_call) = overdue {
+        let result = pending_call.await;
+        *overdue = None;
+        if let Ok(answer) = result {
+            return answer;
+        }
+    }
+    pending().await
 }
 
 impl Discovery {
     /// Creates a client; the connection is opened by the first call.
     pub fn new(address: SocketAddr, poll_cost: PollCost) -> Discovery {
-        Discovery { address, conn: None, poll_cost, max_bytes: MAX_LIST_BYTES }
+        let max_bytes = MAX_LIST_BYTES;
+        Discovery { address, conn: None, poll_cost, max_bytes, is_watching: false, overdue: None }
     }
 
     /// Sets the maximum size of a list, in bytes.
@@ -93,35 +156,56 @@
         self.poll_cost.start_delay(fastrand::f64())
     }
 
-    /// Fetches the full list (`after` is `None`) or waits for changes newer than that version.
+    /// Fetches the full list (`after` is `None`) or waits for changes newer than that version. Returns the
+    /// answer to an earlier call that took too long if that arrives first.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no list. The call may go on, and the next one may return its answer.
     pub async fn fetch(&mut self, after: Option<u64>) -> Result<List, FetchError> {
+        let list_call = match after {
+            None => ListCall::Full,
+            Some(_) if self.is_watching => ListCall::NextWatch,
+            Some(_) => ListCall::FirstWatch,
+        };
+        self.is_watching = false;
+        let wait_ms = self.poll_cost.watch_time(list_call).as_millis();
         let path = match after {
             None => "/catalog/members".to_string(),
-            Some(index) => {
-                format!("/catalog/members?after={index}&wait_ms={}", self.poll_cost.watch_time().as_millis())
+            Some(index) => format!("/catalog/members?after={index}&wait_ms={wait_ms}"),
+        };
+        let conn = self.conn.take().filter(Conn::usable);
+        let mut pending_call: PendingCall = Box::pin(call(self.address, conn, path, self.max_bytes));
+        let answer = tokio::select! {
+            biased;
+            answer = &mut pending_call => answer,
+            late = late_answer(&mut self.overdue) => Ok(late),
+            () = tokio::time::sleep(self.poll_cost.time_limit(list_call)) => {
+                self.overdue = Some(pending_call).filter(|_| self.poll_cost.accepts_late_answers());
+                Err(FetchError::Failed("no answer in time".into()))
             }
         };
-        let time_limit =
-            self.poll_cost.answer_timeout() + after.map_or(Duration::ZERO, |_| self.poll_cost.watch_time());
-        let mut conn = match self.conn.take().filter(Conn::usable) {
-            Some(conn) => conn,
-            None => Conn::open(self.address, CONNECT_TIMEOUT).await.map_err(|e| e.to_string())?,
+        self.read(answer?)
+    }
+
+    /// Reads the list of an answer, and keeps its connection. What an earlier call would still bring is in the
+    /// answer to the next one.
+    fn read(&mut self, Answer { body, conn }: Answer) -> Result<List, FetchError> {
+        (self.conn, self.overdue) = (Some(conn), None);
+        let list = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
+        self.is_watching = true;
+        Ok(list)
+    }
+
+    /// Pauses after a failed call. Returns early with the answer to a call that took too long, and if the
+    /// address of the agent changes.
+    async fn pause(&mut self, pause: Duration, agent: &mut watch::Receiver<SocketAddr>) -> Option<List> {
+        let late = tokio::select! {
+            late = late_answer(&mut self.overdue) => late,
+            _changed_or_closed = agent.changed() => return None,
+            () = tokio::time::sleep(pause) => return None,
         };
-        let request = Request::get(path).header("Host", self.address.to_string()).body(bytes(""));
-        let request = request.map_err(|e| e.to_string())?;
-        let response = tokio::time::timeout(time_limit, conn.exchange(request, BODY_TIMEOUT, self.max_bytes))
-            .await
-            .map_err(|_| "no answer in time".to_string())?
-            .map_err(|e| e.to_string())?;
-        if response.status != StatusCode::OK {
-            return Err(format!("HTTP status {}", response.status).into());
-        }
-        if let Some(size) = response.oversized_bytes {
-            return Err(FetchError::TooLarge { size, max_bytes: self.max_bytes });
-        }
-        let body = response.body.ok_or_else(|| "the response body was not received in full".to_string())?;
-        self.conn = Some(conn);
-        serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}").into())
+        self.read(late).ok()
     }
 
     /// Passes each list and the address of its agent to `on_list` until that returns `false`. `index` is the
@@ -131,29 +215,24 @@
         mut self, mut index: Option<u64>, mut agent: watch::Receiver<SocketAddr>,
         on_list: impl Fn(SocketAddr, List) -> bool,
     ) {
-        let (mut failures, mut older_lists) = (0u32, 0u32);
+        let (mut failures, mut older_lists, mut late_list) = (0u32, 0u32, None);
         loop {
             let address = *agent.borrow_and_update();
             if address != self.address {
                 // The pending watch is dropped with its connection. Version counts of two agents may differ.
                 self = Discovery::new(address, self.poll_cost).with_max_list_bytes(self.max_bytes);
-                (index, failures, older_lists) = (None, 0, 0);
+                (index, failures, older_lists, late_list) = (None, 0, 0, None);
             }
-            let fetched = tokio::select! {
-                biased;
-                Ok(()) = agent.changed() => continue,
-                fetched = self.fetch(index) => fetched,
+            let began = Instant::now();
+            let fetched = match late_list.take() {
+                Some(list) => Ok(list),
+                None => tokio::select! {
+                    biased;
+                    Ok(()) = agent.changed() => continue,
+                    fetched = self.fetch(index) => fetched,
+                },
             };
-            let checked = fetched.and_then(|list| match check_not_older(index, &list) {
-                Ok(()) => Ok(list),
-                Err(e) => {
-                    older_lists += 1;
-                    Err(FetchError::Failed(e))
-                }
-            });
-            if older_lists >= MAX_OLDER_LISTS {
-                index = None;
-            }
+            let checked = fetched.and_then(|list| check_not_older(index, &list).map(|()| list));
             match checked {
                 Ok(list) => {
                     older_lists = 0;
@@ -170,9 +249,12 @@
                     if failures == 0 {
                         eprintln!("mulleinslip: discovery: {e}; the current list stays in force");
                     }
-                    let too_large = matches!(e, FetchError::TooLarge { .. });
-                    let pause = self.poll_cost.pause(failures, too_large, fastrand::f64());
-                    let _agent_changed_or_not = timeout(pause, agent.changed()).await;
+                    older_lists += u32::from(e.kind() == FailureKind::OlderList);
+                    if older_lists >= MAX_OLDER_LISTS {
+                        index = None;
+                    }
+                    let pause = self.poll_cost.pause(failures, e.kind(), began.elapsed(), fastrand::f64());
+                    late_list = self.pause(pause, &mut agent).await;
                     failures = failures.saturating_add(1);
                 }
             }
--- a/crates/http/src/discovery/tests.rs
+++ b/crates/http/src/discovery/tests.rs
@@ -2,6 +2,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use tokio::time::timeout;
 
 fn list(index: u64, snapshot: bool) -> String {
     let host = r#"{"name":"a","address":"127.0.0.1:9","group":1,"status":"active"}"#;
@@ -124,3 +125,45 @@
     assert_eq!(received, [50, 2]);
     assert!(requests[4].starts_with("GET /catalog/members "), "not asked for the full list: {requests:?}");
 }
+
+/// Runs an agent that answers each call after this time, and returns when the relay had its first list.
+fn first_list_from_slow_agent(poll_cost: PollCost, answers_after: Duration) -> Option<Duration> {
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = agent.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut conn in agent.incoming().flatten() {
+            std::thread::spawn(move || {
+                while conn.read(&mut [0; 4096]).is_ok_and(|length| length > 0) {
+                    std::thread::sleep(answers_after);
+                    let list = list(5, true);
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+                    let _closed = conn.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async move {
+        let (_keep_open, agent_address) = watch::channel(address);
+        let began = Instant::now();
+        let first = Arc::new(Mutex::new(None));
+        let recorder = first.clone();
+        let watching = Discovery::new(address, poll_cost).watch(Some(1), agent_address, move |_, _| {
+            *recorder.lock().unwrap() = Some(began.elapsed());
+            false
+        });
+        let _ended = timeout(Duration::from_secs(20), watching).await;
+        let first = *first.lock().unwrap();
+        first
+    })
+}
+
+/// Guards against a relay that never has a list from a discovery service that answers slowly, as it gives up
+/// each call: the answer to a call that took too long is accepted while the next one is in flight.
+#[test]
+fn late_answer_of_a_slow_discovery_is_accepted() {
+    let answers_after = Duration::from_millis(6500);
+    let first = first_list_from_slow_agent(PollCost::Costly, answers_after);
+    let first = first.expect("the relay never had a list");
+    assert!(first < answers_after + Duration::from_millis(1500), "the first list came after {first:?}");
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -27,4 +27,4 @@
 pub use mulleinslip_membership::{Entry, List, ListNames, Status};
 pub use notices::{run as run_notices, Notice};
 pub use outcomes::{retry_after_ms, ParsedOutcome};
-pub use schedule::PollCost;
+pub use schedule::{FailureKind, ListCall, PollCost};
--- a/crates/http/src/schedule.rs
+++ b/crates/http/src/schedule.rs
@@ -3,14 +3,23 @@
 
 use std::time::Duration;
 
-/// Time that one watch may wait at discovery where calls are costly. Short, as a silent agent is noticed only
-/// when this time is over.
-const COSTLY_WATCH: Duration = Duration::from_millis(5000);
-/// Time that one watch may wait where calls are free. A relay is expected to know a change 6 s after the
-/// agent fell silent; this time, [`FREE_ANSWER_TIMEOUT`], one pause and one lost connection together stay
-/// well below that in any order of events.
+/// Time that a watch may wait at discovery where calls are free. A relay is expected to know a change 6 s
+/// after the agent fell silent; this time, [`FREE_ANSWER_TIMEOUT`], one pause and one lost connection together
+/// stay well below that in any order of events.
 const FREE_WATCH: Duration = Duration::from_millis(2000);
 const FREE_ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time that a watch may wait at discovery where calls are costly, if it continues an answered one.
+const COSTLY_NEXT_WATCH: Duration = Duration::from_millis(3000);
+/// The same for the first watch, and for the first one after a failure. Short, so that more of
+/// [`COSTLY_TIME_LIMIT`] is left for an answer that is late because many relays ask.
+const COSTLY_FIRST_WATCH: Duration = Duration::from_millis(1000);
+/// Time after which a call counts as failed where calls are costly. Another call is made then, and the answer
+/// to this one is still accepted until that one has failed as well.
+const COSTLY_TIME_LIMIT: Duration = Duration::from_millis(4000);
+/// Maximum time from the beginning of a call that fails to the beginning of the next one, where calls are
+/// costly. A relay is expected to know a change 6 s after discovery had it and could be reached: what a
+/// failed call missed is in the answer to the next one.
+const COSTLY_MAX_INTERVAL: Duration = Duration::from_millis(5000);
 /// First and longest pause between calls while the list is longer than the relay reads. A list stays that
 /// long for a while, and each call transfers about 130 kB, as much as the socket buffers hold; these pauses
 /// limit the traffic to 6 kB/s.
@@ -22,14 +31,34 @@
 /// about 2 to 8 s and rejects calls that it can't answer within its time-outs. Repeated calls delay the
 /// answers to all others.
 const MIN_RELAYS_FOR_COSTLY: usize = 8;
-/// Time limit for an answer, maximum delay of the first call and range of pauses after failures, where calls
-/// are costly.
-const COSTLY_ANSWER_TIMEOUT: Duration = Duration::from_millis(6000);
+/// Maximum delay of the first call, and range of pauses after failures, where calls are costly.
 const COSTLY_START_DELAY_MS: u64 = 4000;
-const COSTLY_RETRY_MS: (u64, u64) = (2000, 16000);
+const COSTLY_RETRY_MS: (u64, u64) = (2000, 5000);
 /// Number of successive failures after which the pause no longer doubles.
 const MAX_DOUBLINGS: u32 = 6;
 
+/// What a call for the list asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListCall {
+    /// The whole list, at once.
+    Full,
+    /// Changes, after no call or after one that failed.
+    FirstWatch,
+    /// Changes, at once after an answer.
+    NextWatch,
+}
+
+/// How a call for the list failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureKind {
+    /// No answer, or an unreadable one.
+    Unanswered,
+    /// The list is older than the current one. The next call may well be answered with a newer one.
+    OlderList,
+    /// The list is longer than the relay reads.
+    TooLarge,
+}
+
 /// What a call for the list costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollCost {
@@ -53,21 +82,29 @@
     }
 
     /// Returns the time that discovery is asked to wait for a change.
-    pub fn watch_time(self) -> Duration {
-        match self {
-            PollCost::Free => FREE_WATCH,
-            PollCost::Costly => COSTLY_WATCH,
+    pub fn watch_time(self, call: ListCall) -> Duration {
+        match (self, call) {
+            (_, ListCall::Full) => Duration::ZERO,
+            (PollCost::Free, _) => FREE_WATCH,
+            (PollCost::Costly, ListCall::FirstWatch) => COSTLY_FIRST_WATCH,
+            (PollCost::Costly, ListCall::NextWatch) => COSTLY_NEXT_WATCH,
         }
     }
 
-    /// Returns the time limit for an answer, on top of the wait that discovery was asked for.
-    pub fn answer_timeout(self) -> Duration {
+    /// Returns the time after which a call counts as failed.
+    pub fn time_limit(self, call: ListCall) -> Duration {
         match self {
-            PollCost::Free => FREE_ANSWER_TIMEOUT,
-            PollCost::Costly => COSTLY_ANSWER_TIMEOUT,
+            PollCost::Free => self.watch_time(call) + FREE_ANSWER_TIMEOUT,
+            PollCost::Costly => COSTLY_TIME_LIMIT,
         }
     }
 
+    /// Whether the answer to a call that counts as failed is still accepted while the next call is made. It
+    /// is where many relays may overload discovery, so that its answers come late but do come.
+    pub fn accepts_late_answers(self) -> bool {
+        self == PollCost::Costly
+    }
+
     /// Returns the delay of a starting process's first call, as many relays may start at once; `random` is in
     /// 0 to 1.
     pub fn start_delay(self, random: f64) -> Duration {
@@ -77,15 +114,22 @@
         }
     }
 
-    /// Returns the pause after a failed call that follows `failures` earlier failures in a row. `random` in 0
-    /// to 1 adds jitter, so that relays that lost the same discovery don't return to it together.
-    pub fn pause(self, failures: u32, too_large: bool, random: f64) -> Duration {
-        let (first_ms, max_ms) = match self {
-            _ if too_large => TOO_LARGE_RETRY_MS,
-            PollCost::Free => FREE_RETRY_MS,
-            PollCost::Costly => COSTLY_RETRY_MS,
+    /// Returns the pause after a failed call that took `elapsed` and follows `failures` earlier failures in a
+    /// row. `random` in 0 to 1 adds jitter, so that relays that lost the same discovery don't return to it
+    /// together.
+    pub fn pause(self, failures: u32, kind: FailureKind, elapsed: Duration, random: f64) -> Duration {
+        let (first_ms, max_ms) = match (self, kind) {
+            (_, FailureKind::TooLarge) => TOO_LARGE_RETRY_MS,
+            (PollCost::Free, _) | (_, FailureKind::OlderList) => FREE_RETRY_MS,
+            (PollCost::Costly, FailureKind::Unanswered) => COSTLY_RETRY_MS,
+        };
+        let backoff = Duration::from_millis((first_ms << failures.min(MAX_DOUBLINGS)).min(max_ms));
+        let max_pause = match (self, kind) {
+            (PollCost::Costly, FailureKind::Unanswered) => {
+                backoff.min(COSTLY_MAX_INTERVAL.saturating_sub(elapsed))
+            }
+            _ => backoff,
         };
-        let max_ms = (first_ms << failures.min(MAX_DOUBLINGS)).min(max_ms) as f64;
-        Duration::from_secs_f64(max_ms * (1.0 + random.clamp(0.0, 1.0)) / 2000.0)
+        max_pause.mul_f64((1.0 + random.clamp(0.0, 1.0)) / 2.0)
     }
 }
