--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -244,6 +244,7 @@
             clients,
             carrier,
             handle,
+            config.state.clone(),
         ));
     }
     let takeover_server = TakeoverServer {
@@ -258,6 +259,8 @@
         agent_address: agent_address.clone(),
         handle: handle.clone(),
         process_control: process_control.clone(),
+        calls_remain: Cell::default(),
+        calls_lock: Cell::default(),
     };
     let handover_task = spawn_local(takeover_server.run());
     process_control.set_serving(ServingParts {
@@ -297,7 +300,10 @@
         )
         .await;
     } else {
-        let _all_handed_over = handover_task.await;
+        let calls_remain = handover_task.await.unwrap_or(true);
+        if calls_remain {
+            return Ok(());
+        }
         tokio::select! {
             () = takeover::serve_last_callers() => {}
             _ = stop_requested.changed() => {}
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -7,12 +7,13 @@
 use mulleinslip_journal::{Journal, RecoveredState};
 use mulleinslip_membership::View;
 use mulleinslip_runtime::{Clock, ForwardedEnd};
+use mulleinslip_takeover::calls_lock::CallsLock;
 use mulleinslip_takeover::channel::{Channel, TakeoverListener};
 use mulleinslip_takeover::message::{
     AttemptEnd, ToNew, ToOld, FIRST_VERSION, MAX_LEARNT_ROWS, MAX_LIST_ROWS, MAX_ROWS, VERSION,
 };
 use mulleinslip_takeover::protocol::{HandoverState, NewProcess, NewStep, OldEvent, OldProcess, OldStep};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -31,6 +32,8 @@
 const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time to wait for a folder whose owner can't be asked; a process that stops owns it for up to 3.7 s.
 const FOLDER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time to wait for the calls of an old process that was lost. It ends them as soon as it notices, or is dead.
+const CALLS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two checks, such as whether the folder is free.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which the old process answers its second address after it has handed everything over.
@@ -54,7 +57,11 @@
     loop {
         match Journal::open(folder.to_path_buf(), max_bytes) {
             Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < FOLDER_TIMEOUT => {}
-            other => return other.map(|(journal, recovered)| (journal, recovered, None)),
+            Err(e) => return Err(e),
+            Ok((journal, recovered)) => {
+                wait_for_calls_of_others(folder, FOLDER_TIMEOUT).await?;
+                return Ok((journal, recovered, None));
+            }
         }
         // An old process of an earlier version rejects the current one and is asked again with the first.
         for version in (FIRST_VERSION..=VERSION).rev() {
@@ -72,6 +79,23 @@
     }
 }
 
+/// Waits until no other process has calls in flight: nobody reports their ends to this process, and a message
+/// must not have a second attempt in flight.
+///
+/// # Errors
+/// `WouldBlock` if a process still has calls in flight after `time_limit`, and any error of the lock.
+async fn wait_for_calls_of_others(folder: &Path, time_limit: Duration) -> io::Result<()> {
+    let start = Instant::now();
+    while CallsLock::is_held(folder)? {
+        if start.elapsed() >= time_limit {
+            let why = "another process has calls in flight, and nobody reports their ends";
+            return Err(io::Error::new(ErrorKind::WouldBlock, why));
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// Asks the old process for a takeover in this version of the protocol, and takes the folder over.
 async fn request_takeover(
     channel: Channel, version: u16, folder: &Path, max_bytes: u64,
@@ -104,7 +128,7 @@
 /// Takes over connections and ends of attempts from the old process until it exits. Cancels attempts there.
 pub async fn follow_old_process(
     channel: Channel, attempts_in_flight: Vec<(u64, u32)>, mut cancellations: UnboundedReceiver<(u64, u32)>,
-    clients: Rc<Clients>, carrier: Rc<HttpCarrier>, handle: Handle,
+    clients: Rc<Clients>, carrier: Rc<HttpCarrier>, handle: Handle, folder: PathBuf,
 ) {
     let mut in_flight: HashSet<(u64, u32)> = attempts_in_flight.into_iter().collect();
     loop {
@@ -169,6 +193,10 @@
         }
     }
     // The old process has exited or can't be understood: its attempts in flight may have run.
+    if !in_flight.is_empty() {
+        let waited = wait_for_calls_of_others(&folder, CALLS_TIMEOUT).await;
+        waited.unwrap_or_else(|e| log(&format!("takeover: {e}")));
+    }
     for (id, attempt) in in_flight {
         let end = EngineAttemptEnd::without_response(linenhall::Outcome::Broken);
         handle.ended(ForwardedEnd { id, attempt, took_ms: 0.0, end });
@@ -234,15 +262,23 @@
     pub agent_address: watch::Receiver<SocketAddr>,
     pub handle: Handle,
     pub process_control: Rc<ProcessControl>,
+    /// Whether another process may have the folder while this one has calls in flight.
+    pub calls_remain: Cell<bool>,
+    /// Held while that is so, unless the lock can't be taken.
+    pub calls_lock: Cell<Option<CallsLock>>,
 }
 
 impl TakeoverServer {
-    /// Waits for a process that takes over, and returns once everything is handed over to it. Returns early
-    /// only if the socket can't be opened.
-    pub async fn run(self) {
+    /// Waits for a process that takes over, and returns once everything is handed over to it, or it is gone.
+    /// Returns whether calls of this process may still be in flight then: it must exit at once, as the next
+    /// process repeats them. The lock is held until it does. Returns early only if the socket can't be opened.
+    pub async fn run(self) -> bool {
         let listener = match TakeoverListener::open(&self.folder) {
             Ok(listener) => listener,
-            Err(e) => return log(&format!("takeover: {e}; a new process has to wait until this one exits")),
+            Err(e) => {
+                log(&format!("takeover: {e}; a new process has to wait until this one exits"));
+                return false;
+            }
         };
         loop {
             match listener.accept().await {
@@ -251,7 +287,8 @@
                         log(&format!("takeover: {e}"));
                     }
                     if self.process_control.is_handed_over() {
-                        return;
+                        self.calls_lock.take().into_iter().for_each(CallsLock::hold_until_exit);
+                        return self.calls_remain.get();
                     }
                 }
                 Err(e) => {
@@ -274,6 +311,9 @@
                     self.carrier.prepare_hand_over().await;
                     self.intake.paused.send_replace(true);
                     let in_flight = self.handle.release().await.unwrap_or_default();
+                    let calls_lock = CallsLock::take(&self.folder);
+                    self.calls_remain.set(true);
+                    self.calls_lock.set(calls_lock.inspect_err(|e| log(&format!("takeover: {e}"))).ok());
                     let released = self.engine.borrow_mut().store_mut().release();
                     match released {
                         Ok(()) => {
@@ -357,11 +397,18 @@
             }
             sleep(POLL_INTERVAL).await;
         }
+        self.release_calls_lock();
         self.handle.resume();
         self.intake.paused.send_replace(false);
     }
 
+    fn release_calls_lock(&self) {
+        self.calls_remain.set(false);
+        self.calls_lock.set(None);
+    }
+
     /// Hands over connections, each once no answer is pending on it, and the ends of attempts in flight.
+    /// Returns an error if the new process is gone before that.
     async fn hand_over(&self, channel: &Channel, old: &mut OldProcess, version: u16) -> io::Result<()> {
         let (ended_sender, mut ended_receiver) = unbounded_channel();
         let (connection_sender, mut connections) = unbounded_channel();
@@ -384,11 +431,14 @@
                 }
                 end = ended_receiver.recv(), if attempts_remain => match end {
                     Some(end) => self.send_ended(channel, end).await?,
-                    None => attempts_remain = false,
+                    None => {
+                        attempts_remain = false;
+                        self.release_calls_lock();
+                    }
                 },
                 event = receive(channel) => match old.on(event) {
                     OldStep::CancelAttempt(id, attempt) => drop(self.handle.cancel(id, attempt)),
-                    OldStep::Exit => return Ok(()),
+                    OldStep::Exit => return Err(io::Error::other("the new process is gone")),
                     _ => {}
                 },
                 () = sleep(POLL_INTERVAL) => {}
--- a/crates/daemon/tests/takeover_of_attempts.rs
+++ b/crates/daemon/tests/takeover_of_attempts.rs
@@ -3,10 +3,12 @@
 use linenhall::Outcome;
 use mulleinslip_takeover::channel::TakeoverListener;
 use mulleinslip_takeover::message::{AttemptEnd, ToNew, ToOld};
-use mulleinslip_testkit::{program, until, Agent, Host, Relay, Reply};
+use mulleinslip_testkit::{program, receive, until, Agent, Host, Relay, Reply};
 use std::fs::File;
-use std::net::TcpListener;
+use std::io::{BufReader, ErrorKind};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -82,3 +84,72 @@
         assert_eq!(agent.notices_of("m").len(), 1, "{class}, {outcome:?}");
     }
 }
+
+/// A host that takes calls and answers none, and counts those that come while an earlier call of the same
+/// message is in flight.
+#[derive(Clone, Default)]
+struct HangingHost {
+    calls: Arc<Mutex<Vec<(String, TcpStream)>>>,
+    second_copies: Arc<Mutex<Vec<String>>>,
+}
+
+impl HangingHost {
+    fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let host = self.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let host = host.clone();
+                std::thread::spawn(move || host.serve(stream));
+            }
+        });
+        address
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let Some(call) = receive(&mut reader, 0) else { return };
+        let mut calls = self.calls.lock().unwrap();
+        if calls.iter().any(|(id, earlier)| id == call.id() && is_open(earlier)) {
+            self.second_copies.lock().unwrap().push(call.id().to_string());
+        }
+        calls.push((call.id().to_string(), stream));
+    }
+
+    fn calls_of(&self, id: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|call| call.0 == id).count()
+    }
+}
+
+/// Whether the relay has neither closed nor reset the connection.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Guards against two attempts of a message in flight at once: the process that took over was killed, and the
+/// next one sent the messages again while the first still had its calls open. The next one is started at
+/// once, or is there already and has taken over from the one that is killed.
+#[test]
+fn next_process_waits_for_the_calls_of_the_first_if_the_one_between_is_killed() {
+    for takes_over in [false, true] {
+        let host = HangingHost::default();
+        let agent = Agent::new(&[]);
+        agent.list("a", 1, host.start(), "active");
+        let mut first = Relay::start(program!(), &agent);
+        first.take("safe", "m", 1);
+        first.take("keyed", "n", 1);
+        until("both calls", || (host.calls_of("m") == 1 && host.calls_of("n") == 1).then_some(()));
+        let mut second = first.beside();
+        let _third = if takes_over {
+            let third = second.beside();
+            second.child.kill().unwrap();
+            third
+        } else {
+            second.killed(|_| ())
+        };
+        until("the next calls", || (host.calls_of("m") > 1 && host.calls_of("n") > 1).then_some(()));
+        assert_eq!(*host.second_copies.lock().unwrap(), [""; 0], "takes over: {takes_over}");
+    }
+}
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -2,7 +2,8 @@
 //! to end.
 //!
 //! The two processes share the state folder and a Unix socket in it. [`protocol`] defines which side may do
-//! what at which time, without I/O; [`channel`] carries the frames and descriptors.
+//! what at which time, without I/O; [`channel`] carries the frames and descriptors. [`calls_lock`] tells a process that
+//! starts after the new one has died whether the old one still has calls in flight.
 //!
 //! ```text
 //! new                                   old
@@ -22,6 +23,7 @@
 //! new one has not acted. If the old process dies after `Go`, its attempts in flight may have run.
 #![warn(missing_docs)]
 
+pub mod calls_lock;
 pub mod channel;
 pub mod message;
 pub mod protocol;
