--- a/crates/daemon/tests/drains.rs
+++ b/crates/daemon/tests/drains.rs
@@ -213,3 +213,32 @@
         }
     });
 }
+
+/// A list gives a host another address under its name while a call is in flight to the old one, or while a
+/// connection to it comes up. Guards against calls to whoever has the old address by then: the connection was
+/// kept under the name after the call, and a connection that came up was used.
+#[test]
+fn host_that_moves_under_its_name_gets_no_call_at_its_old_address() {
+    for calls_before in [1, 0] {
+        let old = match calls_before {
+            0 => Host::unresponsive(400, |_, _| Reply::Status(200)),
+            _ => Host::new(|_, _| Reply::Late(400)),
+        };
+        let new = Host::ok();
+        let agent = Agent::new(&[("moves", 1, &old)]);
+        let mut config = config(agent.address);
+        config["settings"]["Limits"]["ConnectTimeoutMs"] = json!(3000.0);
+        let relay = Relay::with(program!(), config, &agent);
+        relay.take("safe", "before", 1);
+        old.wait_calls(calls_before);
+        change_and_wait_until_read(&agent, || agent.list("moves", 1, new.address, "active"));
+        // Longer than the call, the connection's start, and the rest of a used connection.
+        std::thread::sleep(Duration::from_millis(1500));
+        for number in 0..5 {
+            relay.take("safe", &format!("after-{number}"), 1);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        until("deliveries", || (0..5).all(|n| new.delivered(&format!("after-{n}"))).then_some(()));
+        assert_eq!(old.received().len(), calls_before, "a call went to the old address");
+    }
+}
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -269,17 +269,12 @@
         loop {
             let (mut connection, _open_connection) = self.connection(endpoint, new_connection).await?;
             let reused = connection.idle_since.is_some();
-            // While the connection was being established, the host may have been drained or a `Retry-After`
-            // received.
-            let address = match self.writable_address(endpoint, destination) {
-                Some(address) => address,
-                None => {
-                    self.return_unused(endpoint, connection);
-                    return Err(CallError::NotAllowed);
-                }
-            };
-            // Asked again for each connection, as time has passed since the first.
-            if !begin(&connection.conn, connection.idle_since) {
+            // While the connection was being established, the host may have been drained or moved to another
+            // address, or a `Retry-After` received. Asked again for each connection, as time has passed since
+            // the first.
+            let address = connection.address;
+            let is_writable = self.writable_address(endpoint, destination) == Some(address);
+            if !is_writable || !begin(&connection.conn, connection.idle_since) {
                 self.return_unused(endpoint, connection);
                 return Err(CallError::NotAllowed);
             }
--- a/crates/http/src/carrier/connections.rs
+++ b/crates/http/src/carrier/connections.rs
@@ -17,6 +17,7 @@
 use mulleinslip_engine::RetryAfter;
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -137,6 +138,8 @@
 /// An established connection to a host.
 pub(super) struct HostConnection {
     pub(super) conn: Conn,
+    /// The address to which it was opened.
+    pub(super) address: SocketAddr,
     /// Since when the connection is idle; `None` if it is new.
     pub(super) idle_since: Option<Instant>,
     /// The last delivery, if it has to be verified.
@@ -146,8 +149,8 @@
 }
 
 impl HostConnection {
-    fn new(conn: Conn, idle_since: Option<Instant>) -> HostConnection {
-        HostConnection { conn, idle_since, unverified: None, closing: false }
+    fn new(conn: Conn, address: SocketAddr, idle_since: Option<Instant>) -> HostConnection {
+        HostConnection { conn, address, idle_since, unverified: None, closing: false }
     }
 
     /// Returns whether the connection is kept open only for a delivery that is verified by now.
@@ -213,7 +216,7 @@
         let conn = Conn::open(address, self.settings.connect_timeout).await;
         let conn = conn.map_err(|_| CallError::NoConnection)?;
         self.connections_opened.set(self.connections_opened.get() + 1);
-        Ok((HostConnection::new(conn, None), open_connection))
+        Ok((HostConnection::new(conn, address, None), open_connection))
     }
 
     /// Closes the connection that has been idle for longest, if possible one without an unverified delivery or
@@ -241,7 +244,7 @@
     pub(super) fn return_unused(&self, endpoint: &str, mut connection: HostConnection) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        if connection.conn.reusable() && state.may_keep(endpoint, now) {
+        if connection.conn.reusable() && state.may_keep(endpoint, connection.address, now) {
             let since = *connection.idle_since.get_or_insert(now);
             state.idle.insert(endpoint, IdleTimes { since, rested_at: now, preferred_at: now }, connection);
         }
@@ -262,7 +265,7 @@
         }
         let delivered = response.status == StatusCode::OK;
         let verifiable = delivered && connection.conn.reusable();
-        connection.closing = !state.may_keep(endpoint, now);
+        connection.closing = !state.may_keep(endpoint, connection.address, now);
         if !verifiable || (connection.closing && !used_before) {
             return if delivered && used_before { Verification::Impossible } else { Verification::NotNeeded };
         }
@@ -373,7 +376,7 @@
         let has_room = state.open_connections + state.idle.len() < self.settings.max_open;
         if let (Some(_), true, Some(since)) = (host, has_room, now.checked_sub(idle)) {
             let times = IdleTimes { since, rested_at: now, preferred_at: now };
-            state.idle.insert(endpoint, times, HostConnection::new(conn, Some(since)));
+            state.idle.insert(endpoint, times, HostConnection::new(conn, peer, Some(since)));
         }
         Ok(())
     }
@@ -455,10 +458,12 @@
         }
     }
 
-    /// Returns whether connections to this host may be kept for another request.
-    fn may_keep(&self, endpoint: &str, now: Instant) -> bool {
+    /// Returns whether a connection to this host, at this address, may be kept for another request. A list may
+    /// have given the host another address since the connection was opened.
+    fn may_keep(&self, endpoint: &str, address: SocketAddr, now: Instant) -> bool {
         let trusted = self.distrusted_until.get(endpoint).is_none_or(|until| *until <= now);
-        trusted && self.hosts.get(endpoint).is_some_and(|host| host.is_active())
+        let host = self.hosts.get(endpoint);
+        trusted && host.is_some_and(|host| host.is_active() && host.entry.address == address)
     }
 
     /// Closes the idle connections to a host; one with an unverified delivery once that is verified.
