Review: a relay that asks a slow discovery for its list never learns it

Change: review/7: with up to 7 relays that ask for lists, a call for the whole list is given up after 1 s and made anew, so that a discovery that takes 1.3 s for each answer is never heard; messages go to a host that left.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod kit;
 mod settings;
 mod case6;
+mod case7;
 
 use kit::Record;
 use std::path::Path;
@@ -28,6 +29,7 @@
     record.line(format!("case {case}, {}", if trouble { "with the disruption" } else { "without" }));
     let verdict = match case.as_str() {
         "6" => case6::play(&record, trouble),
+        "7" => case7::play(&record, trouble),
         _ => kit::could_not_run("no such case"),
     };
     let (text, code) = match verdict {
