Review: two new versions in a row end messages seconds after their time

Change: review/8: a process that has handed over, and whose predecessor ends with calls out, waits 2 s for a lock that it holds itself before it tells how they ended.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -73,6 +73,8 @@
     Status(u16, u64),
     /// Resets the connection without an answer.
     Reset,
+    /// Takes the call and answers nothing, until the relay closes the connection.
+    Hang,
 }
 
 /// A call as a host saw it.
@@ -131,6 +133,10 @@
                     (format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n"), status.to_string())
                 }
                 Reply::Reset => (String::new(), "reset".to_string()),
+                Reply::Hang => {
+                    let _ = reader.read(&mut [0]);
+                    (String::new(), "closed by the relay".to_string())
+                }
             };
             {
                 let mut calls = self.calls.lock().unwrap();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod settings;
 mod case6;
 mod case7;
+mod case8;
 
 use kit::Record;
 use std::path::Path;
@@ -30,6 +31,7 @@
     let verdict = match case.as_str() {
         "6" => case6::play(&record, trouble),
         "7" => case7::play(&record, trouble),
+        "8" => case8::play(&record, trouble),
         _ => kit::could_not_run("no such case"),
     };
     let (text, code) = match verdict {
