Review: a wait that is told with Connection: close is not heeded

Change: review/9: a host that turns a call away with 429, Retry-After and Connection: close gets calls during the wait. The end of such a response is never noticed, so it counts as one without its body, and its Retry-After is dropped.

--- /dev/null
+++ b/review/standins-2/case9.rs
@@ -0,0 +1,65 @@
+//! Waits: a host that tells to wait and says `Connection: close`.
+
+use crate::kit::*;
+use crate::settings::mazowsze;
+use crate::Verdict;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+
+/// The wait that is told.
+const WAIT_MS: f64 = 900.0;
+/// Calls that come so soon after the answer are let through; 50 ms more for the stand-ins' own clocks.
+const LET_THROUGH_MS: f64 = 100.0 + 50.0;
+/// How much earlier than the end of the wait a call is still let pass by the check.
+const SLACK_MS: f64 = 50.0;
+/// How often the host tells to wait, and how far apart.
+const TIMES: usize = 3;
+const EVERY_MS: f64 = 4000.0;
+
+pub fn play(record: &Record, trouble: bool) -> Verdict {
+    let setup = Setup::new("9", record);
+    // When the host tells to wait next, and until when it is full.
+    let plan = Arc::new(Mutex::new((3000.0, 0.0, 0)));
+    let (host_plan, clock) = (plan.clone(), record.clone());
+    let host = Host::start("host", record, move |_, _| {
+        let (now, mut plan) = (clock.now(), host_plan.lock().unwrap());
+        if now < plan.1 {
+            return Reply::Status(503, 0);
+        }
+        if now < plan.0 || plan.2 >= TIMES {
+            return Reply::Status(200, 60);
+        }
+        *plan = (now + EVERY_MS, now + WAIT_MS, plan.2 + 1);
+        Reply::Wait { wait_ms: WAIT_MS as u64, close: trouble }
+    });
+    let discovery = Discovery::start("discovery", record);
+    discovery.list("s-1", &host, 3, "active");
+    setup.configure(discovery.address, &discovery.json(None), &mazowsze());
+    let relay = setup.start(discovery.address, "relay");
+    setup.wait_ready();
+    let started = record.now();
+    for number in 0.. {
+        if record.now() - started > 3000.0 + EVERY_MS * TIMES as f64 + 1000.0 {
+            break;
+        }
+        submit(record, setup.listen, "stany", &format!("m{number}"), 3, 6000, "floty-miejskie");
+        sleep(ms(70));
+    }
+    sleep(ms(1000));
+    drop(relay);
+    setup.finish(&["relay"]);
+    let calls = host.calls.lock().unwrap().clone();
+    let told: Vec<f64> = calls.iter().filter(|call| call.reply == "429").map(|call| call.ended).collect();
+    if told.len() < TIMES {
+        return Verdict::CouldNotRun(format!("the host told {} times to wait", told.len()));
+    }
+    let mut early = Vec::new();
+    for at in &told {
+        let during = calls.iter().map(|call| call.at - at);
+        early.extend(during.filter(|t| *t > LET_THROUGH_MS && *t < WAIT_MS - SLACK_MS));
+    }
+    if early.is_empty() {
+        return Verdict::Held(format!("nothing came in {TIMES} waits of {WAIT_MS} ms"));
+    }
+    Verdict::Broken(format!("{} calls came in {TIMES} waits of {WAIT_MS} ms, {early:.0?} ms after their answers", early.len()))
+}
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -73,6 +73,8 @@
     Status(u16, u64),
     /// Resets the connection without an answer.
     Reset,
+    /// Turns the call away with 429 and tells to wait; with `close` it says `Connection: close` and closes.
+    Wait { wait_ms: u64, close: bool },
     /// Takes the call and answers nothing, until the relay closes the connection.
     Hang,
 }
@@ -133,6 +135,12 @@
                     (format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n"), status.to_string())
                 }
                 Reply::Reset => (String::new(), "reset".to_string()),
+                Reply::Wait { wait_ms, close } => {
+                    let connection = if close { "Connection: close\r\n" } else { "" };
+                    let seconds = wait_ms as f64 / 1000.0;
+                    let head = format!("HTTP/1.1 429 x\r\nRetry-After: {seconds:.3}\r\n{connection}");
+                    (format!("{head}Content-Length: 0\r\n\r\n"), "429".to_string())
+                }
                 Reply::Hang => {
                     let _ = reader.read(&mut [0]);
                     (String::new(), "closed by the relay".to_string())
@@ -146,7 +154,7 @@
             if text.is_empty() {
                 return reset(reader.into_inner());
             }
-            if reader.get_mut().write_all(text.as_bytes()).is_err() {
+            if reader.get_mut().write_all(text.as_bytes()).is_err() || text.contains("Connection: close") {
                 return;
             }
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod case6;
 mod case7;
 mod case8;
+mod case9;
 
 use kit::Record;
 use std::path::Path;
@@ -32,6 +33,7 @@
         "6" => case6::play(&record, trouble),
         "7" => case7::play(&record, trouble),
         "8" => case8::play(&record, trouble),
+        "9" => case9::play(&record, trouble),
         _ => kit::could_not_run("no such case"),
     };
     let (text, code) = match verdict {
