Review: a wait that comes with a body of 20,000 bytes is not heeded

Change: review/10: a host that turns a call away with 429, Retry-After and a body over 16 KiB gets calls during the wait. Bodies hold up to 64 KiB by the protocol; the relay takes such a response for an incomplete one.

--- a/review/standins-2/case9.rs
+++ b/review/standins-2/case9.rs
@@ -1,4 +1,4 @@
-//! Waits: a host that tells to wait and says `Connection: close`.
+//! Waits: a host that tells to wait, in an answer of a form that the pages allow.
 
 use crate::kit::*;
 use crate::settings::mazowsze;
@@ -16,8 +16,18 @@
 const TIMES: usize = 3;
 const EVERY_MS: f64 = 4000.0;
 
-pub fn play(record: &Record, trouble: bool) -> Verdict {
-    let setup = Setup::new("9", record);
+/// Plays the case in which the answer says `Connection: close`.
+pub fn play_close(record: &Record, trouble: bool) -> Verdict {
+    play("9", record, 0, trouble)
+}
+
+/// Plays the case in which the answer has a body of 20,000 bytes.
+pub fn play_body(record: &Record, trouble: bool) -> Verdict {
+    play("10", record, if trouble { 20_000 } else { 0 }, false)
+}
+
+fn play(case: &str, record: &Record, body_bytes: usize, close: bool) -> Verdict {
+    let setup = Setup::new(case, record);
     // When the host tells to wait next, and until when it is full.
     let plan = Arc::new(Mutex::new((3000.0, 0.0, 0)));
     let (host_plan, clock) = (plan.clone(), record.clone());
@@ -30,7 +40,7 @@
             return Reply::Status(200, 60);
         }
         *plan = (now + EVERY_MS, now + WAIT_MS, plan.2 + 1);
-        Reply::Wait { wait_ms: WAIT_MS as u64, close: trouble }
+        Reply::Wait { wait_ms: WAIT_MS as u64, body_bytes, close }
     });
     let discovery = Discovery::start("discovery", record);
     discovery.list("s-1", &host, 3, "active");
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -73,8 +73,9 @@
     Status(u16, u64),
     /// Resets the connection without an answer.
     Reset,
-    /// Turns the call away with 429 and tells to wait; with `close` it says `Connection: close` and closes.
-    Wait { wait_ms: u64, close: bool },
+    /// Turns the call away with 429 and tells to wait, with a body of so many bytes; with `close` it says
+    /// `Connection: close` and closes.
+    Wait { wait_ms: u64, body_bytes: usize, close: bool },
     /// Takes the call and answers nothing, until the relay closes the connection.
     Hang,
 }
@@ -135,11 +136,12 @@
                     (format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n"), status.to_string())
                 }
                 Reply::Reset => (String::new(), "reset".to_string()),
-                Reply::Wait { wait_ms, close } => {
+                Reply::Wait { wait_ms, body_bytes, close } => {
                     let connection = if close { "Connection: close\r\n" } else { "" };
                     let seconds = wait_ms as f64 / 1000.0;
                     let head = format!("HTTP/1.1 429 x\r\nRetry-After: {seconds:.3}\r\n{connection}");
-                    (format!("{head}Content-Length: 0\r\n\r\n"), "429".to_string())
+                    let body = "x".repeat(body_bytes);
+                    (format!("{head}Content-Length: {body_bytes}\r\n\r\n{body}"), "429".to_string())
                 }
                 Reply::Hang => {
                     let _ = reader.read(&mut [0]);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -33,7 +33,8 @@
         "6" => case6::play(&record, trouble),
         "7" => case7::play(&record, trouble),
         "8" => case8::play(&record, trouble),
-        "9" => case9::play(&record, trouble),
+        "9" => case9::play_close(&record, trouble),
+        "10" => case9::play_body(&record, trouble),
         _ => kit::could_not_run("no such case"),
     };
     let (text, code) = match verdict {
