Review: cases in the order of their gravity

Change: the five cases are numbered anew: 6 a wait told with Connection: close, 7 two new versions in a row, 8 a slow discovery, 9 a wait told with a body of 20,000 bytes, 10 a key's rest across a new version. A case that can't run ends the relay's processes as well.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -360,6 +360,7 @@
             .stderr(log)
             .spawn()
             .expect("the relay");
+        RUNNING.lock().unwrap().push(child.id());
         self.record.line(format!("{name} started"));
         Relay { child, control, name: name.into(), record: self.record.clone() }
     }
@@ -387,9 +388,17 @@
     }
 }
 
-/// Ends the run as one that could not be made.
+/// The relay's processes that run, by their ids.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the run as one that could not be made, and with it the relay's processes.
 pub fn could_not_run(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    if let Ok(running) = RUNNING.lock() {
+        for id in running.iter() {
+            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {id}")]).status();
+        }
+    }
     std::process::exit(2)
 }
 
@@ -444,8 +453,13 @@
 
     pub fn kill(&mut self) {
         self.record.line(format!("SIGKILL to {}", self.name));
+        self.end();
+    }
+
+    fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
     }
 
     pub fn ended(&mut self) -> bool {
@@ -455,8 +469,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,10 +3,10 @@
 
 mod kit;
 mod settings;
-mod case6;
-mod case7;
-mod case8;
-mod case9;
+mod order;
+mod slow_discovery;
+mod two_versions;
+mod waits;
 
 use kit::Record;
 use std::path::Path;
@@ -30,11 +30,11 @@
     });
     record.line(format!("case {case}, {}", if trouble { "with the disruption" } else { "without" }));
     let verdict = match case.as_str() {
-        "6" => case6::play(&record, trouble),
-        "7" => case7::play(&record, trouble),
-        "8" => case8::play(&record, trouble),
-        "9" => case9::play_close(&record, trouble),
-        "10" => case9::play_body(&record, trouble),
+        "6" => waits::play_close(&record, trouble),
+        "7" => two_versions::play(&record, trouble),
+        "8" => slow_discovery::play(&record, trouble),
+        "9" => waits::play_body(&record, trouble),
+        "10" => order::play(&record, trouble),
         _ => kit::could_not_run("no such case"),
     };
     let (text, code) = match verdict {
--- a/review/standins-2/case6.rs
+++ b/review/standins-2/order.rs
@@ -12,7 +12,7 @@
 const KEY: &str = "journal-linje/patient-17";
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
-    let setup = Setup::new("6", record);
+    let setup = Setup::new("10", record);
     let host = Host::start("host", record, move |id, earlier| match (id, earlier) {
         ("m1", 0) if trouble => Reply::Reset,
         _ => Reply::Status(200, 80),
--- a/review/standins-2/case7.rs
+++ b/review/standins-2/slow_discovery.rs
@@ -13,7 +13,7 @@
 const GRACE_MS: f64 = 400.0 + 2.0 * 50.0;
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
-    let setup = Setup::new("7", record);
+    let setup = Setup::new("8", record);
     let (leaving, next) = (
         Host::start("leaving", record, |_, _| Reply::Status(200, 60)),
         Host::start("next", record, |_, _| Reply::Status(200, 60)),
--- a/review/standins-2/case8.rs
+++ b/review/standins-2/two_versions.rs
@@ -15,7 +15,7 @@
 const MESSAGES: u64 = 6;
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
-    let setup = Setup::new("8", record);
+    let setup = Setup::new("7", record);
     let host = Host::start("host", record, move |id, _| match id.starts_with('m') && trouble {
         true => Reply::Hang,
         false => Reply::Status(200, 90),
--- a/review/standins-2/case9.rs
+++ b/review/standins-2/waits.rs
@@ -18,12 +18,12 @@
 
 /// Plays the case in which the answer says `Connection: close`.
 pub fn play_close(record: &Record, trouble: bool) -> Verdict {
-    play("9", record, 0, trouble)
+    play("6", record, 0, trouble)
 }
 
 /// Plays the case in which the answer has a body of 20,000 bytes.
 pub fn play_body(record: &Record, trouble: bool) -> Verdict {
-    play("10", record, if trouble { 20_000 } else { 0 }, false)
+    play("9", record, if trouble { 20_000 } else { 0 }, false)
 }
 
 fn play(case: &str, record: &Record, body_bytes: usize, close: bool) -> Verdict {
