--- a/review/standins-2/discovery.rs
+++ b/review/standins-2/discovery.rs
@@ -33,6 +33,11 @@
     let leaving = Host::start("first address", record, |_, _| Reply::Status(200, 60));
     let discovery = Discovery::start("discovery", record);
     discovery.list("s-1", &leaving, DEST, "active");
+    // Seven more hosts of other destinations, so that the one that is replaced is an eighth of all.
+    for dest in 10..17 {
+        let host = Host::start("another host", record, |_, _| Reply::Status(200, 60));
+        discovery.list(&format!("t-{dest}"), &host, dest, "active");
+    }
     let known = discovery.json(None);
     discovery.set_manner(manner);
     setup.configure(discovery.address, &known, settings);
--- a/review/standins-2/waits.rs
+++ b/review/standins-2/waits.rs
@@ -13,7 +13,7 @@
 /// How much earlier than the end of the wait a call is still let pass by the check.
 const SLACK_MS: f64 = 50.0;
 /// How often the host tells to wait, and how far apart.
-const TIMES: usize = 3;
+const TIMES: usize = 4;
 const EVERY_MS: f64 = 4000.0;
 
 /// Plays the case in which the answer says `Connection: close`.
@@ -28,19 +28,25 @@
 
 fn play(case: &str, record: &Record, body_bytes: usize, close: bool) -> Verdict {
     let setup = Setup::new(case, record);
-    // When the host tells to wait next, and until when it is full.
-    let plan = Arc::new(Mutex::new((3000.0, 0.0, 0)));
-    let (host_plan, clock) = (plan.clone(), record.clone());
+    // When the host turns a call away next, until when it is full, how many waits it has told from their start, and
+    // how often it was asked. Two of three refusals tell to wait.
+    let plan = Arc::new(Mutex::new((3000.0, 0.0, 0, 0)));
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let (host_told, clock) = (told.clone(), record.clone());
     let host = Host::start("host", record, move |_, _| {
-        let (now, mut plan) = (clock.now(), host_plan.lock().unwrap());
-        if now < plan.1 {
+        let (now, mut plan) = (clock.now(), plan.lock().unwrap());
+        if now >= plan.1 && (now < plan.0 || plan.2 >= TIMES) {
+            return Reply::Status(200, 60);
+        }
+        plan.3 += 1;
+        if plan.3 % 3 == 2 {
             return Reply::Status(503, 0);
         }
-        if now < plan.0 || plan.2 >= TIMES {
-            return Reply::Status(200, 60);
+        if now >= plan.1 {
+            (plan.0, plan.1, plan.2) = (now + EVERY_MS, now + WAIT_MS, plan.2 + 1);
+            host_told.lock().unwrap().push(now);
         }
-        *plan = (now + EVERY_MS, now + WAIT_MS, plan.2 + 1);
-        Reply::Wait { wait_ms: WAIT_MS as u64, body_bytes, close }
+        Reply::Wait { wait_ms: (plan.1 - now) as u64, body_bytes, close }
     });
     let discovery = Discovery::start("discovery", record);
     discovery.list("s-1", &host, 3, "active");
@@ -59,7 +65,10 @@
     drop(relay);
     setup.finish(&["relay"]);
     let calls = host.calls.lock().unwrap().clone();
-    let told: Vec<f64> = calls.iter().filter(|call| call.reply == "429").map(|call| call.ended).collect();
+    let told = told.lock().unwrap().clone();
+    let refused = calls.iter().filter(|call| call.reply == "429" || call.reply == "503").count();
+    let with_wait = calls.iter().filter(|call| call.reply == "429").count();
+    record.line(format!("{with_wait} of {refused} refusals told to wait"));
     if told.len() < TIMES {
         return Verdict::CouldNotRun(format!("the host told {} times to wait", told.len()));
     }
