--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -492,7 +492,8 @@
         if !self.driver_done {
             let driven = self.driver.as_mut().poll(cx);
             self.driver_done = driven.is_ready();
-            self.driver_failed = matches!(driven, Poll::Ready(Err(_)));
+            // The other side may have closed the connection first.
+            self.driver_failed = matches!(driven, Poll::Ready(Err(e)) if !e.is_shutdown());
         }
     }
 
@@ -515,12 +516,16 @@
                 return None;
             }
         }
-        // The connection accepts the next request only after its driver has seen the end of this response.
-        let ready = poll_fn(|cx| {
+        // The connection accepts the next request only after its driver has seen the end of this response; never,
+        // if the driver has closed the connection.
+        poll_fn(|cx| {
             self.drive(cx);
-            self.sender.poll_ready(cx)
-        });
-        let _also_when_closed = ready.await;
+            match self.driver_done {
+                true => Poll::Ready(()),
+                false => self.sender.poll_ready(cx).map(|_ready_or_closed| ()),
+            }
+        })
+        .await;
         Some(content.into())
     }
 }
--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the discovery agent: serves the list and watches on it, and takes notices.
 
-use crate::host::{response, Host};
+use crate::framing::Framing;
+use crate::host::Host;
 use crate::wire::{receive, until};
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
@@ -22,6 +23,8 @@
     confirmed: Vec<String>,
     /// Whether a call on a used connection gets a copy of the last answer first.
     repeats_answers: bool,
+    /// The form of all answers.
+    framing: Framing,
     down: bool,
     watches: usize,
     /// Number of calls for the list, including watches.
@@ -118,6 +121,11 @@
         self.state.lock().unwrap().repeats_answers = true;
     }
 
+    /// From now on, answers in this form.
+    pub fn answer_as(&self, framing: Framing) {
+        self.state.lock().unwrap().framing = framing;
+    }
+
     /// Whether a notice about this message was answered with 204.
     pub fn confirmed(&self, id: &str) -> bool {
         self.state.lock().unwrap().confirmed.iter().any(|confirmed| confirmed == id)
@@ -155,10 +163,10 @@
 
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream);
-        let mut previous_answer = String::new();
+        let mut previous_answer: Vec<u8> = Vec::new();
         while let Some(request) = receive(&mut reader, 0) {
             if self.state.lock().unwrap().repeats_answers && !previous_answer.is_empty() {
-                let _closed = reader.get_mut().write_all(previous_answer.as_bytes());
+                let _closed = reader.get_mut().write_all(&previous_answer);
                 std::thread::sleep(REPEAT_LEAD);
             }
             let answer = if request.line.starts_with("POST /v1/outcomes") {
@@ -172,7 +180,7 @@
                     state.confirmed.extend(ids);
                 }
                 state.notices.extend(notices);
-                response(status, "")
+                state.framing.response(status, "", b"")
             } else {
                 let after: Option<u64> =
                     request.line.split("after=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
@@ -205,9 +213,10 @@
                     std::thread::sleep(Duration::from_millis(2));
                 }
                 let body = self.snapshot().to_string();
-                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                self.state.lock().unwrap().framing.response(200, "", body.as_bytes())
             };
-            if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+            let closes = self.state.lock().unwrap().framing.closes();
+            if reader.get_mut().write_all(&answer).is_err() || closes {
                 return;
             }
             previous_answer = answer;
--- a/crates/testkit/src/host.rs
+++ b/crates/testkit/src/host.rs
@@ -1,5 +1,6 @@
 //! Scripted partner hosts: listeners that answer calls as a script says and record what they received.
 
+use crate::framing::{write_in_pieces, Framing};
 use crate::wire::{receive, until, ReceivedRequest};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,6 +23,17 @@
     AndClose,
     /// Sends these bytes and keeps the connection open.
     Raw(&'static str),
+    /// Answers in this form.
+    Framed {
+        status: u16,
+        /// Header lines, each with its line end.
+        headers: &'static str,
+        /// Length of the body.
+        body_bytes: usize,
+        framing: Framing,
+        /// Pause between the pieces of the answer, in milliseconds; 0: it comes in one piece.
+        pause_ms: u64,
+    },
     /// Works on the call, answers, and sends the same answer again.
     Repeated {
         status: u16,
@@ -153,6 +165,18 @@
                     }
                     response(*status, headers)
                 }
+                Reply::Framed { status, headers, body_bytes, framing, pause_ms } => {
+                    let answer = framing.response(*status, headers, &vec![b'b'; *body_bytes]);
+                    let pause = Duration::from_millis(*pause_ms);
+                    if write_in_pieces(reader.get_mut(), &answer, pause).is_err() {
+                        return;
+                    }
+                    self.answers.lock().unwrap().push((call.id().to_string(), *status));
+                    if framing.closes() {
+                        return;
+                    }
+                    continue;
+                }
                 Reply::Raw(bytes) => bytes.to_string(),
                 Reply::Reset => return,
                 Reply::Silent => {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Test support: runs the relay as a process on loopback, with scripted partner hosts, a discovery agent and
 //! clients around it.
 mod agent;
+mod framing;
 #[cfg(feature = "grpc")]
 pub mod grpc;
 mod host;
@@ -9,6 +10,7 @@
 mod wire;
 
 pub use agent::Agent;
+pub use framing::Framing;
 pub use host::{response, Host, Reply};
 pub use partner::{Partner, PartnerCall, PartnerFaults, Random};
 pub use relay::{call, command, config, Client, Program, Relay, CONNECTION_REST};
