--- a/crates/daemon/tests/response_framing.rs
+++ b/crates/daemon/tests/response_framing.rs
@@ -6,7 +6,7 @@
 const PROGRAM: Program = mulleinslip_testkit::program!();
 
 /// Lengths of the bodies.
-const BODY_BYTES: [usize; 2] = [0, 300];
+const BODY_BYTES: [usize; 5] = [0, 300, 16 * 1024, 16 * 1024 + 1, 64 * 1024];
 /// Pauses between the pieces of a response, in milliseconds; 0: it comes in one piece.
 const PAUSES_MS: [u64; 2] = [0, 20];
 const WAIT: Duration = Duration::from_millis(900);
@@ -19,23 +19,31 @@
     host: Host,
 }
 
-/// Starts a host for each form of a response.
-fn responders(status: u16, headers: &'static str) -> Vec<Responder> {
+/// Starts a host for each form of a response with this framing.
+fn responders(status: u16, headers: &'static str, framing: Framing) -> Vec<Responder> {
     let mut responders = Vec::new();
-    for framing in Framing::ALL {
-        for body_bytes in BODY_BYTES {
-            for pause_ms in PAUSES_MS {
-                responders.push(Responder {
-                    destination: responders.len() as u64 + 1,
-                    form: format!("{status}, {framing:?}, {body_bytes} bytes, {pause_ms} ms between pieces"),
-                    host: Host::first(vec![Reply::Framed { status, headers, body_bytes, framing, pause_ms }]),
-                });
-            }
+    for body_bytes in BODY_BYTES {
+        for pause_ms in PAUSES_MS {
+            responders.push(Responder {
+                destination: responders.len() as u64 + 1,
+                form: format!("{status}, {framing:?}, {body_bytes} bytes, {pause_ms} ms between pieces"),
+                host: Host::first(vec![Reply::Framed { status, headers, body_bytes, framing, pause_ms }]),
+            });
         }
     }
     responders
 }
 
+/// Runs a play for each framing, all at once.
+fn for_each_framing(play: impl Fn(Framing) + Sync) {
+    std::thread::scope(|scope| {
+        for framing in Framing::ALL {
+            let play = &play;
+            scope.spawn(move || play(framing));
+        }
+    });
+}
+
 /// Starts an agent that lists the hosts, and a relay.
 fn start(responders: &[Responder]) -> (Agent, Relay) {
     let agent = Agent::new(&[]);
@@ -53,65 +61,88 @@
 }
 
 /// Guards against a wait that is not heeded, and against an unsafe message that never ran and is failed: the end
-/// of a response with `Connection: close` was never noticed, so a 429 or 503 counted as cut short.
+/// of a response with `Connection: close` was never noticed, and a body of more than 16 KiB not read, so a 429 or
+/// 503 counted as cut short.
 #[test]
 fn refusal_in_any_form_is_a_refusal_and_its_wait_is_heeded() {
     for (status, headers) in [(429, WAIT_HEADER), (503, WAIT_HEADER), (503, "")] {
-        let responders = responders(status, headers);
-        let (_agent, relay) = start(&responders);
-        for responder in &responders {
-            until("the refusal", || responder.host.answered(&first_id(responder)).then_some(()));
-        }
-        // More messages come while the destinations' waits run.
-        for round in 0..3 {
-            std::thread::sleep(Duration::from_millis(100));
-            for responder in &responders {
-                relay.submit(
-                    "safe",
-                    &format!("next-{}-{round}", responder.destination),
-                    responder.destination,
-                );
-            }
-        }
-        for responder in &responders {
-            let id = first_id(responder);
-            until(&format!("the second call: {}", responder.form), || {
-                responder.host.delivered(&id).then_some(())
-            });
-            assert_eq!(responder.host.calls_of(&id), 2, "{}", responder.form);
-        }
-        if headers.is_empty() {
-            continue;
-        }
+        for_each_framing(|framing| refuse(responders(status, headers, framing), !headers.is_empty()));
+    }
+}
+
+/// Plays refusals by these hosts, with a wait or without.
+fn refuse(responders: Vec<Responder>, with_wait: bool) {
+    let (_agent, relay) = start(&responders);
+    for responder in &responders {
+        let id = first_id(responder);
+        until(&format!("the refusal: {}", responder.form), || responder.host.answered(&id).then_some(()));
+    }
+    // More messages come while the destinations' waits run.
+    for round in 0..3 {
+        std::thread::sleep(Duration::from_millis(100));
         for responder in &responders {
-            let calls = responder.host.received();
-            let waited = calls[1].at - calls[0].at;
-            assert!(waited > WAIT - Duration::from_millis(10), "{}: {waited:?}", responder.form);
+            relay.submit("safe", &format!("next-{}-{round}", responder.destination), responder.destination);
         }
     }
+    for responder in &responders {
+        let id = first_id(responder);
+        until(&format!("a second call: {}", responder.form), || responder.host.delivered(&id).then_some(()));
+        assert_eq!(responder.host.calls_of(&id), 2, "{}", responder.form);
+        let calls = responder.host.received();
+        let waited = calls[1].at - calls[0].at;
+        assert!(!with_wait || waited > WAIT - Duration::from_millis(10), "{}: {waited:?}", responder.form);
+    }
+}
+
+/// Guards against a wait that is not heeded as the body behind it comes late: the head has told it.
+#[test]
+fn wait_is_heeded_although_the_body_of_its_response_comes_late() {
+    let slow = |framing| Reply::Framed {
+        status: 429,
+        headers: WAIT_HEADER,
+        body_bytes: 60_000,
+        framing,
+        pause_ms: 150,
+    };
+    let hosts: Vec<Host> = Framing::ALL.into_iter().map(|framing| Host::first(vec![slow(framing)])).collect();
+    let agent = Agent::new(&[]);
+    agent.list_all(hosts.iter().zip(1..).map(|(host, dest)| (format!("host-{dest}"), dest, host.address)));
+    let relay = Relay::start(PROGRAM, &agent);
+    for dest in 1..=hosts.len() as u64 {
+        relay.submit_accepted_once_listed("safe", &format!("m-{dest}"), dest);
+    }
+    for (host, framing) in hosts.iter().zip(Framing::ALL) {
+        let calls = host.wait_calls(2);
+        let waited = calls[1].at - calls[0].at;
+        assert!(waited > WAIT - Duration::from_millis(10), "{framing:?}: {waited:?}");
+    }
 }
 
 /// Guards against a delivery that is taken for a failure, and a failed call that is taken for one that never ran.
 #[test]
 fn delivery_and_error_in_any_form_count_as_what_they_are() {
     for status in [200, 500] {
-        let responders = responders(status, "");
-        let (agent, _relay) = start(&responders);
-        for responder in &responders {
-            let id = first_id(responder);
-            until("the call", || responder.host.answered(&id).then_some(()));
-            if status == 500 {
-                assert_eq!(agent.wait_notice(&id)["status"], "undeliverable", "{}", responder.form);
-            }
-        }
-        std::thread::sleep(Duration::from_millis(500));
-        for responder in &responders {
-            let id = first_id(responder);
-            assert_eq!(responder.host.calls_of(&id), 1, "{}: an unsafe message ran twice", responder.form);
-            let notices = agent.notices_of(&id).len();
-            assert_eq!(notices, usize::from(status == 500), "{}", responder.form);
+        for_each_framing(|framing| end(responders(status, "", framing), status));
+    }
+}
+
+/// Plays calls that these hosts end with this status, 200 or 500.
+fn end(responders: Vec<Responder>, status: u16) {
+    let (agent, _relay) = start(&responders);
+    for responder in &responders {
+        let id = first_id(responder);
+        until(&format!("the call: {}", responder.form), || responder.host.answered(&id).then_some(()));
+        if status == 500 {
+            assert_eq!(agent.wait_notice(&id)["status"], "undeliverable", "{}", responder.form);
         }
     }
+    std::thread::sleep(Duration::from_millis(500));
+    for responder in &responders {
+        let id = first_id(responder);
+        assert_eq!(responder.host.calls_of(&id), 1, "{}: an unsafe message ran twice", responder.form);
+        let notices = agent.notices_of(&id).len();
+        assert_eq!(notices, usize::from(status == 500), "{}", responder.form);
+    }
 }
 
 /// Returns the configuration of one of `relays` relays.
--- a/crates/http/src/carrier.rs
+++ b/crates/http/src/carrier.rs
@@ -2,7 +2,7 @@
 //! at most one request on one connection; this module never retries.
 
 use crate::audit::{self, Step};
-use crate::conn::{bytes, Conn, ExchangeError, HttpResponse, Progress, MAX_SMALL_BODY_BYTES};
+use crate::conn::{bytes, BodyLimit, Conn, ExchangeError, HttpResponse, Progress, MAX_BODY_BYTES};
 use crate::idle::IdlePool;
 use crate::outcomes::ParsedOutcome;
 use bytes::Bytes;
@@ -287,7 +287,10 @@
             let built_request = head.header(HOST, address.to_string()).body(bytes(body));
             let Ok(built_request) = built_request else { return Err(CallError::NotAllowed) };
             let started_at = Instant::now();
-            match conn.exchange(built_request, BODY_TIMEOUT, MAX_SMALL_BODY_BYTES).await {
+            // Only the body of a probe's response means something.
+            let body_limit =
+                if destination.is_some() { BodyLimit::DISCARD } else { BodyLimit::keep(MAX_BODY_BYTES) };
+            match conn.exchange(built_request, BODY_TIMEOUT, body_limit).await {
                 Ok(response) => {
                     let used_before = trace.used_before.get();
                     let verification =
@@ -406,12 +409,11 @@
         let ParsedOutcome { outcome, settled, retry_after_ms } =
             ParsedOutcome::of(response.status, &response.headers);
         // Only a complete response without surplus bytes proves by its status that a call never ran or is
-        // finished. Its `Retry-After` counts despite surplus bytes, but not if the response is incomplete.
-        let complete = response.body.is_some();
-        let retry_after_ms = if outcome == Outcome::Full && complete { retry_after_ms } else { 0.0 };
+        // finished. `Retry-After` counts in any case, as its head is complete.
+        let complete = response.body.is_some() && !response.surplus;
         let (outcome, settled) = match outcome {
             Outcome::Delivered => (outcome, settled),
-            _ if complete && !response.surplus => (outcome, settled),
+            _ if complete => (outcome, settled),
             _ => (Outcome::Error, false),
         };
         if retry_after_ms > 0.0 {
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -23,9 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// Maximum size of a response body where a small one is expected; after a longer one the connection is
-/// closed.
-pub const MAX_SMALL_BODY_BYTES: usize = 16 * 1024;
+/// Maximum size of a body by the protocol, except of a list.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a response head, with any interim responses before it; hyper has the same limit.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Time limit from a response's first byte to the end of its head, which normally arrives in one piece.
@@ -284,6 +283,25 @@
 /// The body of a request or of an answer to a client.
 pub type Body = Full<Bytes>;
 
+/// How much of a response's body is read, and whether it is kept.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimit {
+    /// Maximum size; after a longer body the connection is closed.
+    pub max_bytes: usize,
+    /// Whether the content is kept. Else only its end is awaited, and [`HttpResponse::body`] is empty.
+    pub keep: bool,
+}
+
+impl BodyLimit {
+    /// A body whose content means nothing.
+    pub const DISCARD: BodyLimit = BodyLimit { max_bytes: MAX_BODY_BYTES, keep: false };
+
+    /// A body that is kept, of at most this size.
+    pub fn keep(max_bytes: usize) -> BodyLimit {
+        BodyLimit { max_bytes, keep: true }
+    }
+}
+
 /// A response.
 pub struct HttpResponse {
     pub status: StatusCode,
@@ -440,10 +458,10 @@
         IdleInput::Unrequested { status: scanner.status(), retry_after }
     }
 
-    /// Sends a request, waits for the response's head, and then reads its body within `body_timeout` and up
-    /// to `max_body_bytes`. After an error, [`Progress`] tells whether the request can have run.
+    /// Sends a request, waits for the response's head, and then reads its body within `body_timeout` and
+    /// `body_limit`. After an error, [`Progress`] tells whether the request can have run.
     pub async fn exchange(
-        &mut self, request: Request<Body>, body_timeout: Duration, max_body_bytes: usize,
+        &mut self, request: Request<Body>, body_timeout: Duration, body_limit: BodyLimit,
     ) -> Result<HttpResponse, ExchangeError> {
         self.reusable = false;
         self.carried = self.carried.saturating_add(1);
@@ -474,15 +492,15 @@
             Some(Err(_)) | None => return Err(ExchangeError::Unreadable),
         };
         let length = body.size_hint().exact();
-        let body = match length {
-            Some(length) if length > max_body_bytes as u64 => None,
-            _ => timeout(body_timeout, self.read_body(body, max_body_bytes)).await.ok().flatten(),
+        let oversized_bytes = length.filter(|length| *length > body_limit.max_bytes as u64);
+        let body = match oversized_bytes {
+            Some(_) => None,
+            None => timeout(body_timeout, self.read_body(body, body_limit)).await.ok().flatten(),
         };
         let state = self.progress.response.borrow().state;
         let extra_bytes =
             matches!(state, ScanState::AfterHead { bytes, .. } if length.is_some_and(|l| bytes > l));
         let surplus = extra_bytes || self.driver_failed;
-        let oversized_bytes = length.filter(|length| *length > max_body_bytes as u64);
         self.reusable = body.is_some() && !surplus;
         Ok(HttpResponse { status: head.status, headers: head.headers, body, oversized_bytes, surplus })
     }
@@ -499,8 +517,8 @@
 
     /// Reads the body and waits until the connection is ready for the next request; `None` if the body is too
     /// long or incomplete.
-    async fn read_body(&mut self, mut body: hyper::body::Incoming, max_body_bytes: usize) -> Option<Bytes> {
-        let mut content = Vec::new();
+    async fn read_body(&mut self, mut body: hyper::body::Incoming, limit: BodyLimit) -> Option<Bytes> {
+        let (mut content, mut received_bytes) = (Vec::new(), 0);
         loop {
             let frame = poll_fn(|cx| {
                 self.drive(cx);
@@ -510,9 +528,15 @@
             match frame {
                 None => break,
                 Some(Err(_)) => return None,
-                Some(Ok(frame)) => content.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
+                Some(Ok(frame)) => {
+                    let data = frame.data_ref().map_or(&[][..], |data| data);
+                    received_bytes += data.len();
+                    if limit.keep {
+                        content.extend_from_slice(data);
+                    }
+                }
             }
-            if content.len() > max_body_bytes {
+            if received_bytes > limit.max_bytes {
                 return None;
             }
         }
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -2,7 +2,7 @@
 //! a failure the current list stays in force. If the agent's address changes, the new agent is asked for the
 //! full list first.
 
-use crate::conn::{bytes, Conn};
+use crate::conn::{bytes, BodyLimit, Conn};
 use crate::schedule::{FailureKind, ListCall, PollCost};
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
@@ -115,7 +115,8 @@
     };
     let request = Request::get(path).header("Host", address.to_string()).body(bytes(""));
     let request = request.map_err(|e| e.to_string())?;
-    let response = conn.exchange(request, BODY_TIMEOUT, max_bytes).await.map_err(|e| e.to_string())?;
+    let response = conn.exchange(request, BODY_TIMEOUT, BodyLimit::keep(max_bytes)).await;
+    let response = response.map_err(|e| e.to_string())?;
     if response.status != StatusCode::OK {
         return Err(format!("HTTP status {}", response.status).into());
     }
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -3,7 +3,7 @@
 use crate::answer::Answer;
 use crate::audit::{self, Step};
 use crate::client_connection::ClientConnection;
-use crate::conn::{bytes, collect, Body};
+use crate::conn::{bytes, collect, Body, MAX_BODY_BYTES};
 use crate::handle::Handle;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
@@ -17,8 +17,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
 
-/// Maximum size of a message's body.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum length of an id or key; those in use have 32 characters.
 const MAX_ID_BYTES: usize = 256;
 /// A body that does not arrive is answered this long before its connection would be closed.
--- a/crates/http/src/notices.rs
+++ b/crates/http/src/notices.rs
@@ -3,7 +3,7 @@
 //! finished does no harm.
 
 use crate::audit::{self, Step};
-use crate::conn::{backoff, bytes, Conn, MAX_SMALL_BODY_BYTES};
+use crate::conn::{backoff, bytes, BodyLimit, Conn};
 use crate::handle::Handle;
 use hyper::{Request, StatusCode};
 use serde_json::json;
@@ -49,8 +49,7 @@
     let mut conn = Conn::open(target, REQUEST_TIMEOUT).await.map_err(|e| e.to_string())?;
     let request = Request::post("/v1/outcomes").header("Host", target.to_string()).body(bytes(body));
     let request = request.map_err(|e| e.to_string())?;
-    let answer =
-        timeout(REQUEST_TIMEOUT, conn.exchange(request, REQUEST_TIMEOUT, MAX_SMALL_BODY_BYTES)).await;
+    let answer = timeout(REQUEST_TIMEOUT, conn.exchange(request, REQUEST_TIMEOUT, BodyLimit::DISCARD)).await;
     let answer = answer.map_err(|_| "no answer in time".to_string())?.map_err(|e| e.to_string())?;
     Ok(answer.status)
 }
