--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::timers::Timers;
 use crate::untried::UntriedStats;
 
-use linenhall::{Action, Effect, Event, Outage, Outcome, Relay, Settings};
+use linenhall::{Action, Effect, Event, KeyPause, Outage, Outcome, Relay, Settings};
 use mulleinslip_journal::{AcceptedMessage, GivenUp, OutageRecord};
 use std::collections::HashMap;
 use std::fmt;
@@ -170,13 +170,13 @@
     pub fn handle<T>(
         &mut self, now: f64, inputs: impl IntoIterator<Item = Input<T, R>>, outputs: &mut Vec<Output<T, R>>,
     ) {
-        let (mut events, mut submissions) = (Vec::new(), Vec::new());
+        let (mut events, mut submissions, mut withdrawn) = (Vec::new(), Vec::new(), Vec::new());
         for input in inputs {
             match input {
                 Input::Submitted(message, ticket) => {
                     self.submitted(now, *message, ticket, &mut events, &mut submissions, outputs)
                 }
-                Input::Withdrawn { id } => events.extend(self.withdrawn(id, outputs)),
+                Input::Withdrawn { id } => events.extend(self.withdrawn(id, &mut withdrawn, outputs)),
                 Input::Ended { id, attempt, took_ms, end } => {
                     self.attempt_ended(now, (id, attempt), took_ms, end, &mut events, outputs);
                 }
@@ -209,6 +209,7 @@
         if !events.is_empty() {
             self.run_round(now, &events, submissions, outputs);
         }
+        withdrawn.into_iter().for_each(|id| self.record_ended(id, outputs));
         outputs.extend(self.untried.take_log_line().map(Output::Log));
     }
 
@@ -330,16 +331,24 @@
         submissions.push(PendingSubmission { id, accepted, ticket });
     }
 
-    fn withdrawn<T>(&mut self, id: u64, outputs: &mut Vec<Output<T, R>>) -> Option<Event> {
+    /// Handles the withdrawal of a message. Returns the event for the module, if it needs one. A message whose
+    /// order key the module pauses is added to `withdrawn`: its end may be recorded only after the pause.
+    fn withdrawn<T>(
+        &mut self, id: u64, withdrawn: &mut Vec<u64>, outputs: &mut Vec<Output<T, R>>,
+    ) -> Option<Event> {
         if self.take_unverified(id).is_some() {
             let in_order = self.open_messages.get(id)?.in_order;
             self.record_ended(id, outputs);
             return in_order.then_some(Event::AnswerConfirmed { id });
         }
-        self.open_messages.get(id).filter(|m| !m.finished)?;
+        let message = self.open_messages.get(id).filter(|m| !m.finished)?;
+        let pauses_key = message.in_order && !message.in_flight.is_empty();
         self.untried.withdrawn(id);
         self.open_messages.finish(id);
-        self.record_ended(id, outputs);
+        match pauses_key {
+            true => withdrawn.push(id),
+            false => self.record_ended(id, outputs),
+        }
         Some(Event::Withdrawn { id })
     }
 
@@ -388,9 +397,15 @@
         }
     }
 
-    fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Action> {
+    fn decide<T>(&mut self, now: f64, events: &[Event], outputs: &mut Vec<Output<T, R>>) -> Vec<Action> {
         let mut actions = Vec::new();
         self.relay.handle(now, events, &mut actions);
+        for KeyPause { key, until } in self.relay.key_pauses() {
+            if let Err(e) = self.store.record_key_pause(key, *until, now) {
+                let line = format!("journal: {e}; after a restart an order key would not be paused");
+                outputs.push(Output::Log(line));
+            }
+        }
         if let Some(observer) = &mut self.observer {
             observer.round(now, events, &actions, &self.relay);
         }
@@ -402,7 +417,7 @@
         &mut self, now: f64, events: &[Event], submissions: Vec<PendingSubmission<T>>,
         outputs: &mut Vec<Output<T, R>>,
     ) {
-        let actions = self.decide(now, events);
+        let actions = self.decide(now, events, outputs);
         // Senders get their replies first, as a delivery counts only once its sender knows that the message
         // was accepted.
         self.reply_to_submissions(submissions, &actions, outputs);
@@ -413,7 +428,7 @@
         // only so many.
         while !self.follow_up.is_empty() {
             let events = std::mem::take(&mut self.follow_up);
-            for action in self.decide(now, &events) {
+            for action in self.decide(now, &events, outputs) {
                 self.perform(now, action, outputs);
             }
         }
--- a/crates/engine/src/engine/restore.rs
+++ b/crates/engine/src/engine/restore.rs
@@ -5,7 +5,7 @@
 use crate::open_messages::{AttemptInFlight, OpenMessage};
 use crate::store::Store;
 use bytes::Bytes;
-use linenhall::{Endpoint, EndpointStatus, Event, ListUpdate, Outage};
+use linenhall::{Endpoint, EndpointStatus, Event, KeyPause, ListUpdate, Outage};
 use mulleinslip_journal::{
     Attempt as RecoveredAttempt, GivenUp, OutageRecord, RecoveredMessage, RecoveredState,
 };
@@ -23,6 +23,8 @@
             events.push(Event::ListUpdate(list));
         }
         events.push(Event::Outages(recovered.outages.iter().map(outage_from_record).collect()));
+        let key_pauses = recovered.key_pauses.into_iter().map(|(key, until)| KeyPause { key, until });
+        events.push(Event::KeysPaused(key_pauses.collect()));
         events.push(Event::RetryAfters(previous.retry_afters.clone()));
         events.extend(previous.learnt.iter().map(|part| Event::RestoreLearnt(Box::new(part.clone()))));
         let mut resumed = Vec::new();
@@ -36,13 +38,16 @@
                 .position(is_in_flight)
                 .map(|index| message.attempts.swap_remove(index));
             let Some(mut event) = self.recover(now, message, !previous.is_running, outputs) else { continue };
-            if let (Some(attempt), Event::RequestRestored { attempts, in_flight, .. }) =
-                (in_flight, &mut event)
-            {
-                // The module gives this number to the message's next attempt, which is the resumed one.
-                *attempts = attempt.number;
-                *in_flight = true;
-                resumed.push((id, attempt));
+            match (in_flight, &mut event) {
+                (Some(attempt), Event::RequestRestored { attempts, in_flight, .. }) => {
+                    // The module gives this number to the message's next attempt, which is the resumed one.
+                    *attempts = attempt.number;
+                    *in_flight = true;
+                    resumed.push((id, attempt));
+                }
+                // The earlier process cancels it, and the module is not told of its end.
+                (Some(_), Event::AnswerPending { may_be_running, .. }) => *may_be_running = true,
+                _ => {}
             }
             events.push(event);
         }
@@ -92,6 +97,7 @@
         let RecoveredMessage { id, message, attempts, given_up } = recovered;
         let index_of = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let next_attempt = attempts.iter().map(|a| a.number.saturating_add(1)).max().unwrap_or(0);
+        let may_be_running = attempts.iter().any(|a| a.may_run_yet);
         let first_uncertain = attempts.iter().filter(|a| a.may_have_run).min_by(|a, b| a.at.total_cmp(&b.at));
         let class = index_of(&self.names.classes, &message.class);
         let open_message = OpenMessage {
@@ -121,7 +127,7 @@
         let (Some(class), None) = (class, given_up) else {
             self.untried.given_up(id, now, true, class.is_some());
             self.send_given_up(id, given_up.unwrap_or(GivenUp::Undeliverable), false, outputs);
-            return message.order_key.map(|key| Event::AnswerPending { id, key });
+            return message.order_key.map(|key| Event::AnswerPending { id, key, may_be_running });
         };
         Some(Event::RequestRestored {
             id,
@@ -135,7 +141,7 @@
             // unknown. It then counts as long ago.
             first_uncertain_send: first_uncertain
                 .map(|a| (if a.at > now { 0.0 } else { a.at }, a.endpoint.clone())),
-            may_be_running: attempts.iter().any(|a| a.may_run_yet),
+            may_be_running,
             untried,
             in_flight: false,
         })
--- a/crates/engine/src/store.rs
+++ b/crates/engine/src/store.rs
@@ -19,6 +19,8 @@
     ) -> Result<(), Self::Error>;
     /// Records that a message is given up and that this is still to be confirmed.
     fn record_given_up(&mut self, id: u64, given_up: GivenUp) -> Result<(), Self::Error>;
+    /// Records that an order key is paused until a time; `now` is the current one.
+    fn record_key_pause(&mut self, key: &str, until: f64, now: f64) -> Result<(), Self::Error>;
     /// Records that a message has ended and that nothing more has to be done for it.
     fn record_ended(&mut self, id: u64) -> Result<(), Self::Error>;
     /// Records the outages that the module knows of, in place of any recorded before.
@@ -41,6 +43,9 @@
     fn record_given_up(&mut self, id: u64, given_up: GivenUp) -> Result<(), Self::Error> {
         Journal::record_given_up(self, id, given_up)
     }
+    fn record_key_pause(&mut self, key: &str, until: f64, now: f64) -> Result<(), Self::Error> {
+        Journal::record_key_pause(self, key, until, now)
+    }
     fn record_ended(&mut self, id: u64) -> Result<(), Self::Error> {
         Journal::record_ended(self, id)
     }
@@ -68,6 +73,9 @@
     fn record_given_up(&mut self, _: u64, _: GivenUp) -> Result<(), Self::Error> {
         Ok(())
     }
+    fn record_key_pause(&mut self, _: &str, _: f64, _: f64) -> Result<(), Self::Error> {
+        Ok(())
+    }
     fn record_ended(&mut self, _: u64) -> Result<(), Self::Error> {
         Ok(())
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -66,6 +66,7 @@
 pub struct StoredState {
     pub messages: BTreeMap<u64, RecoveredMessage>,
     pub outages: Vec<OutageRecord>,
+    pub key_pauses: Vec<(String, f64)>,
     /// Which calls to the store fail from now on.
     pub failure: StoreFailure,
     pub writes: u64,
@@ -88,6 +89,7 @@
         RecoveredState {
             messages: state.messages.values().cloned().collect(),
             outages: state.outages.clone(),
+            key_pauses: state.key_pauses.clone(),
             ..RecoveredState::default()
         }
     }
@@ -146,6 +148,13 @@
     fn record_given_up(&mut self, id: u64, given_up: GivenUp) -> Result<(), Self::Error> {
         self.update(id, |message| message.given_up = Some(given_up))
     }
+    fn record_key_pause(&mut self, key: &str, until: f64, now: f64) -> Result<(), Self::Error> {
+        let mut state = self.0.borrow_mut();
+        state.writes += 1;
+        state.key_pauses.retain(|(paused, end)| paused != key && *end > now);
+        state.key_pauses.push((key.to_string(), until));
+        Ok(())
+    }
     fn record_ended(&mut self, id: u64) -> Result<(), Self::Error> {
         let mut state = self.0.borrow_mut();
         state.writes += 1;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -3,12 +3,14 @@
 //! framed by a marker, its length and its checksum, so that a torn or damaged record does not affect others.
 
 mod hosts;
+mod key_pauses;
 mod record;
 
 pub use hosts::HostChange;
 pub use record::{AcceptedMessage, GivenUp, OutageRecord, StoredHost, StoredList, TombstoneRecord};
 
 use hosts::HostTable;
+use key_pauses::KeyPauses;
 use record::{frame, read_records, Record};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
@@ -21,6 +23,8 @@
 /// Records about hosts may take this fraction (one fifth) of the folder, and twice as much during a
 /// compaction. Into 3 MB fit 4,096 tombstones, and 3,200 hosts beside as many that are leaving.
 const HOSTS_DIVISOR: u64 = 5;
+/// Pauses of keys may take this fraction of the space that is reserved for the records of accepted messages.
+const KEY_PAUSES_DIVISOR: u64 = 2;
 /// Minimum size of a stored host, in bytes.
 const MIN_HOST_BYTES: u64 = 40;
 
@@ -61,6 +65,7 @@
     live: BTreeMap<u64, Vec<u8>>,
     live_bytes: u64,
     hosts: HostTable,
+    key_pauses: KeyPauses,
     max_bytes: u64,
     /// Space that is reserved for the records of messages that are already accepted.
     reserve_bytes: u64,
@@ -71,6 +76,8 @@
 pub struct RecoveredState {
     pub messages: Vec<RecoveredMessage>,
     pub outages: Vec<OutageRecord>,
+    /// Order keys and the wall-clock times until which they are paused, perhaps past ones.
+    pub key_pauses: Vec<(String, f64)>,
     /// The tombstones, the oldest first.
     pub tombstones: Vec<TombstoneRecord>,
     /// What [`RecoveredState::hosts`] stands for.
@@ -126,6 +133,7 @@
             live: BTreeMap::new(),
             live_bytes: 0,
             hosts: HostTable::default(),
+            key_pauses: KeyPauses::default(),
             max_bytes,
             reserve_bytes,
         };
@@ -134,6 +142,7 @@
             // The damaged record may be the departure of a host.
             journal.hosts.give_up_list()?;
         }
+        recovered.key_pauses = journal.key_pauses.list();
         recovered.list = journal.hosts.list().clone();
         recovered.hosts = journal.hosts.listed_hosts();
         recovered.tombstones =
@@ -192,6 +201,7 @@
                 | Record::Tombstone(..)
                 | Record::TombstoneRemoved(_)
                 | Record::HostList(_)) => self.hosts.apply(record, bytes),
+                Record::KeyPaused(key, until) => self.key_pauses.set(key, until, bytes),
                 Record::AttemptBegun(id, number, at, endpoint) => {
                     let Some(message) = messages.get_mut(&id) else { continue };
                     let (may_have_run, may_run_yet) = (true, true);
@@ -232,6 +242,7 @@
         let mut contents = Vec::with_capacity(self.live_size() as usize);
         self.live.values().for_each(|frames| contents.extend_from_slice(frames));
         self.hosts.write_to(&mut contents);
+        self.key_pauses.write_to(&mut contents);
         let written = fs::write(&new_path, &contents).and_then(|()| fs::rename(&new_path, &self.path));
         if let Err(e) = written {
             let _ignored = fs::remove_file(&new_path);
@@ -244,7 +255,7 @@
 
     /// Returns the size of all live records, which is what a compacted file has.
     fn live_size(&self) -> u64 {
-        self.live_bytes + self.hosts.bytes()
+        self.live_bytes + self.hosts.bytes() + self.key_pauses.bytes()
     }
 
     /// Returns whether the folder was released to another process.
@@ -315,6 +326,22 @@
         self.append(OUTAGES_ID, &Record::Outages(outages), self.reserve_bytes / 2)
     }
 
+    /// Records that a key is paused until a wall-clock time; `now` is the current one.
+    ///
+    /// # Errors
+    /// Any error of writing; `StorageFull` if too many keys are paused. Nothing is recorded then.
+    pub fn record_key_pause(&mut self, key: &str, until: f64, now: f64) -> io::Result<()> {
+        self.key_pauses.drop_ended(now);
+        let bytes = KeyPauses::frame(key, until)?;
+        let max_bytes = self.reserve_bytes / KEY_PAUSES_DIVISOR;
+        if self.key_pauses.bytes() + bytes.len() as u64 > max_bytes {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        self.write(&bytes, 0)?;
+        self.key_pauses.set(key.to_string(), until, bytes);
+        Ok(())
+    }
+
     /// Records that a message has ended. It is not recovered by a later process.
     pub fn record_ended(&mut self, id: u64) -> io::Result<()> {
         self.append(id, &Record::Ended(id), 0)
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -57,6 +57,8 @@
     /// What the listed hosts stand for. [`StoredList::Incomplete`] removes all hosts and tombstones that come
     /// before it.
     HostList(StoredList),
+    /// No other message of this key is sent before this wall-clock time. Replaces any earlier record of the key.
+    KeyPaused(String, f64),
 }
 
 /// Destination, endpoint, wall-clock time at which it recovered (if it has), and deliveries per second before
--- a/crates/journal/tests/recorded.rs
+++ b/crates/journal/tests/recorded.rs
@@ -10,6 +10,7 @@
 /// Written before hosts were recorded one by one: its last record has all tombstones.
 const SAMPLE: &[u8] = include_bytes!("recorded/journal.bin");
 const SAMPLE_WITH_HOSTS: &[u8] = include_bytes!("recorded/journal-hosts.bin");
+const SAMPLE_WITH_KEY_PAUSES: &[u8] = include_bytes!("recorded/journal-key-pauses.bin");
 const MAX_BYTES: u64 = 1024 * 1024;
 
 fn empty_folder(name: &str) -> PathBuf {
@@ -161,3 +162,22 @@
     let written = fs::read(folder.join("journal")).unwrap();
     assert_eq!(written, SAMPLE_WITH_HOSTS);
 }
+
+/// The same for the pauses of order keys: of two records of a key the later one counts.
+#[test]
+fn key_pauses_are_written_and_read_as_recorded() {
+    let folder = empty_folder("recorded-journal-key-pauses");
+    let (mut journal, _) = Journal::open(folder.clone(), MAX_BYTES).unwrap();
+    for (key, until) in
+        [("key-7", 1_764_770_005_000.5), ("key-8", 1_764_770_006_000.25), ("key-7", 1_764_770_007_000.5)]
+    {
+        journal.record_key_pause(key, until, 1_764_770_000_000.0).unwrap();
+    }
+    let written = fs::read(folder.join("journal")).unwrap();
+    assert_eq!(written, SAMPLE_WITH_KEY_PAUSES);
+    drop(journal);
+    let (_journal, recovered) = Journal::open(folder, MAX_BYTES).unwrap();
+    assert_eq!(recovered.damage_notes, Vec::<String>::new());
+    let expected = [("key-7".to_string(), 1_764_770_007_000.5), ("key-8".to_string(), 1_764_770_006_000.25)];
+    assert_eq!(recovered.key_pauses, expected);
+}
--- a/crates/linenhall/src/interface.rs
+++ b/crates/linenhall/src/interface.rs
@@ -192,6 +192,16 @@
     pub rate_before: f64,
 }
 
+/// A key of classes that keep an order, and until when it is paused: an attempt for one of its messages may
+/// still be running.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyPause {
+    /// The key.
+    pub key: String,
+    /// The end of the pause.
+    pub until: f64,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -286,6 +296,8 @@
         id: u64,
         /// Its key.
         key: String,
+        /// Whether an attempt may still be running.
+        may_be_running: bool,
     },
     /// The next [`Event::Ended`] of this request settles it, but its sender still has to receive the answer:
     /// where [`Settings::confirms_answers`] is set, no other request of its key is sent before
@@ -300,6 +312,8 @@
         /// The request.
         id: u64,
     },
+    /// Pauses that an earlier process of this relay knew of, see [`crate::Relay::key_pauses`].
+    KeysPaused(Vec<KeyPause>),
     /// Outages that an earlier process of this relay knew of.
     Outages(Vec<Outage>),
     /// Retry-Afters that an earlier process received and that still hold: destination, endpoint as in
--- a/crates/linenhall/src/keys.rs
+++ b/crates/linenhall/src/keys.rs
@@ -77,6 +77,15 @@
         entry.queue.first().map(|x| x.1)
     }
 
+    /// Pauses a key for all messages, as an earlier process did.
+    pub fn restore_pause(&mut self, key: &Name, until: f64) {
+        let entry = self.keys.or_insert_with(key.clone(), KeyQueue::default);
+        entry.paused_until = entry.paused_until.max(until);
+        if entry.queue.is_empty() {
+            self.pause_ends.set(key.clone(), OrderedF64::new(entry.paused_until));
+        }
+    }
+
     /// Returns from when on a message's key lets it be sent; [`f64::MAX`]: not before an earlier message is
     /// finished.
     pub fn sendable_at(&self, key: &Name, seq: u64, id: u64) -> f64 {
--- a/crates/linenhall/src/logic.rs
+++ b/crates/linenhall/src/logic.rs
@@ -148,6 +148,8 @@
     pub(crate) fleet: Fleet,
     /// Calls in flight, by number.
     pub(crate) calls: Table<u64, Call>,
+    /// The pauses that the current round has set.
+    pub(crate) key_pauses: Vec<KeyPause>,
     /// Order keys.
     pub(crate) keys: OrderKeys,
     /// Groups and destinations that changed since their index entries were last updated.
@@ -233,6 +235,7 @@
     pub fn handle(&mut self, now: f64, events: &[Event], actions: &mut Vec<Action>) {
         self.now = clamp_finite(now, self.now, 1e15);
         self.open_batches.clear();
+        self.key_pauses.clear();
         self.cached_action = None;
         events.iter().for_each(|event| self.handle_event(event, actions));
         self.request_watch(actions);
@@ -258,6 +261,12 @@
             Event::AnswerPending { .. } | Event::AnswerExpected { .. } | Event::AnswerConfirmed { .. } => {
                 self.handle_answer_event(event)
             }
+            Event::KeysPaused(known) => {
+                let latest = self.now + self.settings.order_pause_ms;
+                for KeyPause { key, until } in known {
+                    self.keys.restore_pause(&Name::from(key.as_str()), until.min(latest));
+                }
+            }
             Event::Outages(known) => known.iter().for_each(|outage| self.restore_outage(outage)),
             Event::RetryAfters(known) => {
                 for (destination_id, endpoint, until) in known {
@@ -942,7 +951,14 @@
         if first && self.settings.may_cancel && !message.response_started {
             actions.extend(message.in_flight.iter().map(|f| Action::Cancel { id, attempt: f.0 }));
         }
-        if message.in_flight.is_empty() {
+        let none_in_flight = message.in_flight.is_empty();
+        if first && !none_in_flight {
+            // If this process dies before these attempts end, the next one knows nothing of them.
+            let key = message.key.clone();
+            self.pause_key(&key, id);
+        }
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        if none_in_flight {
             let (key, seq) = (message.key.take(), message.seq);
             self.messages.remove(&id);
             let next = key.and_then(|key| self.keys.remove(key, seq, id, self.now));
@@ -1077,9 +1093,11 @@
     }
 
     /// An attempt may still be running: the next messages of its key wait.
-    fn pause_key(&mut self, key: &Option<Name>, id: u64) {
+    pub(crate) fn pause_key(&mut self, key: &Option<Name>, id: u64) {
         let paused_until = self.now + self.settings.order_pause_ms;
-        let next = key.as_ref().and_then(|key| self.keys.pause(key, id, paused_until));
+        let Some(key) = key else { return };
+        self.key_pauses.push(KeyPause { key: key.to_string(), until: paused_until });
+        let next = self.keys.pause(key, id, paused_until);
         next.into_iter().for_each(|id| self.reindex_message(id));
     }
 
--- a/crates/linenhall/src/upkeep.rs
+++ b/crates/linenhall/src/upkeep.rs
@@ -178,10 +178,13 @@
     /// Handles an event about an answer that its sender has received or still has to receive.
     pub(crate) fn handle_answer_event(&mut self, event: &Event) {
         match event {
-            Event::AnswerPending { id, key } => {
+            Event::AnswerPending { id, key, may_be_running } => {
                 let key = Name::from(key.as_str());
                 self.seq += 1;
                 self.keys.enqueue(&Some(key.clone()), self.seq, *id);
+                if *may_be_running {
+                    self.pause_key(&Some(key.clone()), *id);
+                }
                 self.keys.await_confirmation(&Some(key.clone()), self.seq, *id);
                 self.keys.remove(key, self.seq, *id, self.now);
             }
--- a/crates/linenhall/src/view.rs
+++ b/crates/linenhall/src/view.rs
@@ -1,7 +1,7 @@
 //! Views of a relay's state for its users. This module makes no decisions.
 
 use crate::fleet::{BreakerState, EndpointGroup};
-use crate::interface::{EndpointStatus, Outage};
+use crate::interface::{EndpointStatus, KeyPause, Outage};
 use crate::logic::Relay;
 use serde::{Deserialize, Serialize};
 
@@ -70,6 +70,12 @@
         self.fleet.unhealthy.list()
     }
 
+    /// Returns the pauses of keys that the last round has set. A later process must know them, see
+    /// [`crate::Event::KeysPaused`].
+    pub fn key_pauses(&self) -> &[KeyPause] {
+        &self.key_pauses
+    }
+
     /// Returns a number that grows whenever [`Relay::outages`] changes.
     pub fn outages_version(&self) -> u64 {
         self.fleet.unhealthy.version()
--- a/crates/testkit/src/host.rs
+++ b/crates/testkit/src/host.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What a host does with a call.
 #[derive(Clone, Debug)]
@@ -71,6 +71,8 @@
     pub repeated: Arc<AtomicUsize>,
     /// Ids of the calls that the host answered, and the statuses.
     answers: Arc<Mutex<Vec<(String, u16)>>>,
+    /// Ids of the calls on [`Reply::Silent`] that the relay has given up, and when.
+    abandoned: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
 impl Host {
@@ -108,6 +110,7 @@
             closed: Arc::default(),
             repeated: Arc::default(),
             answers: Arc::default(),
+            abandoned: Arc::default(),
         };
         let (this, script): (Host, Arc<Script>) = (host.clone(), Arc::new(script));
         std::thread::spawn(move || {
@@ -182,6 +185,7 @@
                 Reply::Silent => {
                     // Returns once the relay closes the connection.
                     let _no_data = reader.read(&mut [0; 1]);
+                    self.abandoned.lock().unwrap().push((call.id().to_string(), Instant::now()));
                     return;
                 }
             };
@@ -235,6 +239,17 @@
         self.answers.lock().unwrap().clone()
     }
 
+    /// Waits until the relay has given up all calls for this message, which this host leaves unanswered; returns
+    /// when it gave up the last one.
+    pub fn wait_abandoned(&self, id: &str) -> Instant {
+        until("the end of the calls", || {
+            let abandoned = self.abandoned.lock().unwrap();
+            let times: Vec<Instant> =
+                abandoned.iter().filter(|call| call.0 == id).map(|call| call.1).collect();
+            times.last().filter(|_| times.len() == self.calls_of(id)).copied()
+        })
+    }
+
     /// Returns the number of calls received for a message.
     pub fn calls_of(&self, id: &str) -> usize {
         self.received().iter().filter(|call| call.id() == id).count()
