--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -20,6 +20,12 @@
 /// four times as much, which is half of the memory, see docs/CAPACITY.md.
 const LIST_MEMORY_DIVISOR: usize = 8;
 
+/// Unanswered input of all clients may take this fraction (one sixteenth) of `limits.memory_mb`. Each connection may
+/// hold 8 KiB beyond it.
+const INPUT_MEMORY_DIVISOR: usize = 16;
+/// Minimum of that: room for some large requests at a time.
+const MIN_INPUT_BYTES: usize = 1 << 20;
+
 /// The configuration, checked.
 pub struct Config {
     /// Path of the configuration file, which is read again at SIGHUP.
@@ -36,6 +42,8 @@
     pub known: List,
     /// Maximum length of a list from discovery.
     pub max_list_bytes: usize,
+    /// Maximum number of bytes of unanswered requests, see [`INPUT_MEMORY_DIVISOR`].
+    pub max_input_bytes: usize,
     /// Maximum number of destinations that the decision module and the carrier know at once.
     pub max_active_destinations: usize,
     /// Cost of a call for the list.
@@ -151,6 +159,7 @@
 pub fn read() -> Result<Config, String> {
     let path: PathBuf = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into();
     let (file, parsed) = load(&path)?;
+    let memory_bytes = (file.limits.memory_mb.clamp(0.0, 1e6) * 1e6) as usize;
     let state = std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?;
     Ok(Config {
         file: path,
@@ -161,12 +170,10 @@
         state: state.into(),
         seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
         sockets: file.limits.sockets,
+        max_input_bytes: (memory_bytes / INPUT_MEMORY_DIVISOR).max(MIN_INPUT_BYTES),
         disk_bytes: (file.limits.disk_mb * 1e6) as u64,
-        max_list_bytes: ((file.limits.memory_mb.clamp(0.0, 1e6) * 1e6) as usize / LIST_MEMORY_DIVISOR)
-            .max(MAX_LIST_BYTES),
-        max_active_destinations: ((file.limits.memory_mb.clamp(0.0, 1e6) * 1e6) as usize
-            / ACTIVE_MEMORY_DIVISOR
-            / ACTIVE_DESTINATION_BYTES)
+        max_list_bytes: (memory_bytes / LIST_MEMORY_DIVISOR).max(MAX_LIST_BYTES),
+        max_active_destinations: (memory_bytes / ACTIVE_MEMORY_DIVISOR / ACTIVE_DESTINATION_BYTES)
             .max(MIN_ACTIVE_DESTINATIONS),
         poll_cost: PollCost::of(parsed.settings.relays, parsed.discovery_is_polled),
         settings: parsed.settings,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -228,7 +228,7 @@
     });
     let listener_copy =
         listener.as_fd().try_clone_to_owned().map_err(|e| format!("cannot duplicate the listener: {e}"))?;
-    let clients = Clients::new(intake.clone(), max_connections);
+    let clients = Clients::new(intake.clone(), max_connections, config.max_input_bytes);
     spawn_local(clients.clone().enforce_time_limits());
     spawn_local(clients.clone().serve(listener));
     if let Some(TakenOver { channel, .. }) = taken_over {
--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -2,9 +2,12 @@
 //! what hyper doesn't report.
 
 use crate::audit::{self, Step};
+use crate::input_budget::InputBudget;
+use crate::unanswered_input::UnansweredInput;
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::Rc;
+use std::task::Waker;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -15,55 +18,14 @@
 /// that takes twice as long is useless to it. Together with [`IDLE_TIMEOUT`] it stays within the 3 s in
 /// which each client must have an answer or see the connection closed.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same for a large request while there is no room for the input of others.
+const LARGE_REQUEST_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
 /// Maximum size of a request's head, which is also hyper's buffer size. The head of a message has about 300
 /// bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers, the same as hyper's.
 const MAX_HEADERS: usize = 100;
 
-/// Maximum size of a request with its head; chunked encoding may make it larger than its body.
-const MAX_UNANSWERED_BYTES: usize = MAX_HEAD_BYTES + 96 * 1024;
-
-/// The input of a connection that is not answered yet, as received, so that another process can read it
-/// again.
-#[derive(Default)]
-struct UnansweredInput {
-    bytes: Vec<u8>,
-    /// Lengths of the complete requests in `bytes`.
-    complete_lengths: VecDeque<usize>,
-    /// Number of bytes received of the incomplete request.
-    incomplete_bytes: usize,
-    /// The input was too large to keep, so no process can read it again.
-    too_large: bool,
-}
-
-impl UnansweredInput {
-    /// Appends received bytes, unless the input becomes too large to keep.
-    fn append(&mut self, bytes: &[u8]) {
-        if self.too_large || self.bytes.len() + bytes.len() > MAX_UNANSWERED_BYTES {
-            *self = UnansweredInput { too_large: true, ..UnansweredInput::default() };
-            return;
-        }
-        self.bytes.extend_from_slice(bytes);
-    }
-
-    /// Adds bytes to the length of the incomplete request.
-    fn add_to_incomplete(&mut self, count: usize) {
-        self.incomplete_bytes += count;
-    }
-
-    /// Records that the incomplete request is complete.
-    fn complete_request(&mut self) {
-        self.complete_lengths.push_back(std::mem::take(&mut self.incomplete_bytes));
-    }
-
-    /// Discards the first complete request, as it is answered.
-    fn discard_first(&mut self) {
-        let first = self.complete_lengths.pop_front().unwrap_or(0).min(self.bytes.len());
-        self.bytes.drain(..first);
-    }
-}
-
 /// How far the current request of a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RequestPhase {
@@ -109,6 +71,10 @@
     pub phase_since: Cell<Instant>,
     position: RefCell<InputPosition>,
     unanswered: RefCell<UnansweredInput>,
+    /// Input is left unread as there is no room for it.
+    awaits_room: Cell<bool>,
+    /// A request was answered before it was received in full.
+    answered_early: Cell<bool>,
     /// An answer is being written.
     writing_answer: Cell<bool>,
     /// A head with an ambiguous length was received: another request may hide in the body.
@@ -132,12 +98,16 @@
 
 impl ClientConnection {
     /// Creates the state of a new connection.
-    pub fn new(number: u64, above_keep_alive_limit: Rc<Cell<bool>>) -> ClientConnection {
+    pub fn new(
+        number: u64, above_keep_alive_limit: Rc<Cell<bool>>, input_budget: Rc<InputBudget>,
+    ) -> ClientConnection {
         ClientConnection {
             phase: Cell::new(RequestPhase::Idle),
             phase_since: Cell::new(Instant::now()),
             position: RefCell::new(InputPosition::Head(Vec::new())),
-            unanswered: RefCell::default(),
+            unanswered: RefCell::new(UnansweredInput::new(input_budget)),
+            awaits_room: Cell::new(false),
+            answered_early: Cell::new(false),
             writing_answer: Cell::new(false),
             is_ambiguous: Cell::new(false),
             close_mode: Cell::new(CloseMode::KeepOpen),
@@ -169,7 +139,9 @@
 
     /// Called when the request has its answer, which is still to be written.
     pub fn request_answered(&self) {
-        self.unanswered.borrow_mut().discard_first();
+        if !self.unanswered.borrow_mut().discard_first() {
+            self.answered_early.set(true);
+        }
         self.has_answered.set(true);
         // Input received along with the answered request may be part of the next one.
         self.set_phase(if self.is_between_requests() { RequestPhase::Idle } else { RequestPhase::Reading });
@@ -180,7 +152,7 @@
     fn is_between_requests(&self) -> bool {
         let unanswered = self.unanswered.borrow();
         match &*self.position.borrow() {
-            InputPosition::Head(head) => head.is_empty() && unanswered.complete_lengths.is_empty(),
+            InputPosition::Head(head) => head.is_empty() && !unanswered.has_complete_request(),
             InputPosition::Body(_) => false,
             // No further request is accepted.
             InputPosition::Ignored => true,
@@ -253,8 +225,38 @@
     pub fn input_to_hand_over(&self) -> Option<Vec<u8>> {
         let unanswered = self.unanswered.borrow();
         let pending = self.phase.get() == RequestPhase::Answering || self.writing_answer.get();
-        (!pending && !unanswered.too_large && self.close_mode.get() < CloseMode::WhenIdle)
-            .then(|| unanswered.bytes.clone())
+        (!pending && self.close_mode.get() < CloseMode::WhenIdle).then(|| unanswered.to_hand_over())?
+    }
+
+    /// Returns the body of the current request, which was received in full and has this length; `None` if its
+    /// input is not kept.
+    pub fn request_body(&self, length: usize) -> Option<Bytes> {
+        self.unanswered.borrow().first_body(length)
+    }
+
+    /// Records that this many more bytes of the current request are held elsewhere.
+    pub fn hold_elsewhere(&self, count: usize) {
+        self.unanswered.borrow_mut().hold_elsewhere(count);
+    }
+
+    /// Returns whether more input may be read. If not, `waker` is called when it may.
+    pub fn may_read(&self, waker: &Waker) -> bool {
+        let may_read = self.unanswered.borrow().may_read(self.number, waker);
+        self.awaits_room.set(!may_read);
+        may_read
+    }
+
+    /// Returns whether a part of a request was received, and there is no room for the rest.
+    pub fn awaits_room(&self) -> bool {
+        self.awaits_room.get() && self.has_incomplete_request()
+    }
+
+    /// Returns whether a large request has been incomplete for longer than there is time for it while other
+    /// connections wait for room.
+    pub fn holds_up_others(&self, now: Instant) -> bool {
+        self.has_incomplete_request()
+            && self.unanswered.borrow().is_large()
+            && now.saturating_duration_since(self.phase_since.get()) > LARGE_REQUEST_TIMEOUT_WHEN_FULL
     }
 
     /// Returns the time by which the request must be complete.
@@ -270,6 +272,7 @@
     /// Returns whether the connection closes after the current request.
     pub fn closes_after_request(&self) -> bool {
         self.is_ambiguous.get()
+            || self.answered_early.get()
             || self.above_keep_alive_limit.get()
             || self.close_mode.get() > CloseMode::KeepOpen
             || matches!(*self.position.borrow(), InputPosition::Ignored)
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::client_connection::{ClientConnection, CloseMode, RequestPhase, MAX_HEAD_BYTES};
 use crate::close::{self, Socket};
+use crate::input_budget::InputBudget;
 use crate::intake::{DrainMode, Intake};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
@@ -73,6 +74,9 @@
             buf.put_slice(&chunk);
             return Poll::Ready(Ok(()));
         }
+        if !self.connection.may_read(cx.waker()) {
+            return Poll::Pending;
+        }
         let mut read = ReadBuf::uninit(&mut bytes[..max_bytes]);
         std::task::ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, &mut read))?;
         self.connection.examine_input(read.filled());
@@ -98,6 +102,8 @@
 /// All client connections.
 pub struct Clients {
     intake: Rc<Intake>,
+    /// Bounds the input of unanswered requests.
+    input_budget: Rc<InputBudget>,
     /// One permit for each connection that may be open.
     permits: Arc<Semaphore>,
     /// Open connections by number.
@@ -119,8 +125,10 @@
 }
 
 impl Clients {
-    /// Creates the set of client connections, which holds at most `max_connections`.
-    pub fn new(intake: Rc<Intake>, max_connections: usize) -> Rc<Clients> {
+    /// Creates the set of client connections, which holds at most `max_connections`, and in them at most about
+    /// `max_input_bytes` of unanswered requests.
+    pub fn new(intake: Rc<Intake>, max_connections: usize, max_input_bytes: usize) -> Rc<Clients> {
+        let input_budget = Rc::new(InputBudget::new(max_input_bytes));
         let (permits, keep_alive_limit) = (Arc::new(Semaphore::new(max_connections)), max_connections / 2);
         let (connections, above_keep_alive_limit, drain_changes) =
             (RefCell::default(), Rc::default(), Cell::default());
@@ -128,6 +136,7 @@
             (watch::Sender::new(false), watch::Sender::new(None), Cell::default());
         Rc::new(Clients {
             intake,
+            input_budget,
             permits,
             connections,
             keep_alive_limit,
@@ -210,7 +219,11 @@
 
     /// Adds a connection.
     fn register(&self, number: u64) -> Rc<ClientConnection> {
-        let connection = Rc::new(ClientConnection::new(number, self.above_keep_alive_limit.clone()));
+        let connection = Rc::new(ClientConnection::new(
+            number,
+            self.above_keep_alive_limit.clone(),
+            self.input_budget.clone(),
+        ));
         let mut connections = self.connections.borrow_mut();
         connections.insert(number, connection.clone());
         self.above_keep_alive_limit.set(connections.len() > self.keep_alive_limit);
@@ -229,6 +242,11 @@
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             let now = Instant::now();
+            if self.input_budget.is_exhausted() {
+                let connections = self.connections.borrow();
+                let holders = connections.values().filter(|connection| connection.holds_up_others(now));
+                holders.for_each(|connection| connection.request_close(CloseMode::RefuseIncomplete));
+            }
             for connection in
                 self.connections.borrow().values().filter(|connection| connection.exceeds_time_limit(now))
             {
@@ -353,7 +371,8 @@
                         return Poll::Ready(Some(unread));
                     }
                 }
-                match connection.may_close() && !close::has_unread_input(&socket) {
+                let all_read = connection.awaits_room() || !close::has_unread_input(&socket);
+                match connection.may_close() && all_read {
                     true => Poll::Ready(None),
                     false => Poll::Pending,
                 }
@@ -389,10 +408,12 @@
         }
         // hyper itself answers requests that it can't parse.
         let answer = match connection.close_mode() {
-            CloseMode::RequestTimeout if connection.has_incomplete_request() => {
+            CloseMode::RequestTimeout if connection.has_incomplete_request() && !connection.awaits_room() => {
                 Some(close::REQUEST_TIMEOUT_RESPONSE)
             }
-            CloseMode::RefuseIncomplete if connection.has_incomplete_request() => {
+            CloseMode::RequestTimeout | CloseMode::RefuseIncomplete
+                if connection.has_incomplete_request() =>
+            {
                 Some(close::REFUSED_RESPONSE)
             }
             _ => None,
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -4,7 +4,7 @@
 
 use crate::outcomes::parse_retry_after_ms;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -566,14 +566,5 @@
     Full::new(body.into())
 }
 
-/// Reads a body in full, up to `max_bytes`; the error tells whether it was longer.
-pub async fn collect(body: hyper::body::Incoming, max_bytes: usize) -> Result<Bytes, bool> {
-    let limited = http_body_util::Limited::new(body, max_bytes);
-    match limited.collect().await {
-        Ok(content) => Ok(content.to_bytes()),
-        Err(e) => Err(e.is::<http_body_util::LengthLimitError>()),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -3,9 +3,10 @@
 use crate::answer::Answer;
 use crate::audit::{self, Step};
 use crate::client_connection::ClientConnection;
-use crate::conn::{bytes, collect, Body, MAX_BODY_BYTES};
+use crate::conn::{bytes, Body, MAX_BODY_BYTES};
 use crate::handle::Handle;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -164,17 +165,38 @@
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"));
         }
         let body_deadline = connection.request_deadline() - BODY_MARGIN;
-        let body = tokio::time::timeout_at(body_deadline.into(), collect(body, MAX_BODY_BYTES)).await;
-        let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))?;
-        let body = body.map_err(|too_long| match too_long {
-            true => (StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"),
-            false => (BAD, "the body can't be read\n"),
-        })?;
+        let body = tokio::time::timeout_at(body_deadline.into(), read_body(body, connection)).await;
+        let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come\n"))??;
         let due = self.clock.at(Instant::now()) + budget_ms;
         Ok(Message { call_id, class, tenant, destination, due, order_key, idempotency_key, body })
     }
 }
 
+/// Reads a body. One of a known length is taken from the connection's unanswered input, which has it already.
+async fn read_body(mut body: Incoming, connection: &ClientConnection) -> Result<Bytes, RequestError> {
+    let length = body.size_hint().exact();
+    let (mut content, mut received_bytes) = (Vec::new(), 0);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body can't be read\n"))?;
+        let data = frame.data_ref().map_or(&[][..], |data| data);
+        received_bytes += data.len();
+        if received_bytes > MAX_BODY_BYTES {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "64 KiB at most\n"));
+        }
+        if length.is_none() {
+            connection.hold_elsewhere(data.len());
+            content.extend_from_slice(data);
+        }
+    }
+    match length {
+        None => Ok(content.into()),
+        Some(_) => {
+            let body = connection.request_body(received_bytes);
+            body.ok_or((StatusCode::SERVICE_UNAVAILABLE, "the request is too large to keep\n"))
+        }
+    }
+}
+
 /// Makes an answer with a body of plain text.
 fn plain_response(status: StatusCode, why: &'static str) -> Reply {
     let mut reply = Response::new(bytes(why));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,10 +12,12 @@
 mod front;
 mod handle;
 mod idle;
+mod input_budget;
 mod intake;
 mod notices;
 mod outcomes;
 mod schedule;
+mod unanswered_input;
 
 pub use answer::{Answer, Ticket};
 pub use carrier::{CarrierSettings, HttpCarrier};
--- /dev/null
+++ b/crates/http/src/unanswered_input.rs
@@ -0,0 +1,129 @@
+//! The input of a client connection that is not answered yet, as received.
+
+use crate::client_connection::MAX_HEAD_BYTES;
+use crate::conn::MAX_BODY_BYTES;
+use crate::input_budget::{InputBudget, SMALL_INPUT_BYTES};
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::task::Waker;
+
+/// Maximum size of a request with its head, and of what may be read ahead; chunked encoding may make a request
+/// larger than its body.
+const MAX_UNANSWERED_BYTES: usize = 2 * MAX_HEAD_BYTES + MAX_BODY_BYTES + 16 * 1024;
+/// Input grows in steps of this size, so that little more is allocated than is held.
+const GROWTH_BYTES: usize = 8 * 1024;
+
+/// The unanswered input of a connection: another process can read it again, and the body of a message is taken
+/// from it.
+pub struct UnansweredInput {
+    bytes: Vec<u8>,
+    /// Lengths of the complete requests in `bytes`.
+    complete_lengths: VecDeque<usize>,
+    /// Number of bytes received of the incomplete request.
+    incomplete_bytes: usize,
+    /// The input was too large to keep.
+    too_large: bool,
+    /// Number of bytes of the current request that are held elsewhere.
+    elsewhere_bytes: usize,
+    /// Number of bytes that the budget counts.
+    counted_bytes: usize,
+    budget: Rc<InputBudget>,
+}
+
+impl UnansweredInput {
+    /// Creates the state of a new connection.
+    pub fn new(budget: Rc<InputBudget>) -> UnansweredInput {
+        UnansweredInput {
+            bytes: Vec::new(),
+            complete_lengths: VecDeque::new(),
+            incomplete_bytes: 0,
+            too_large: false,
+            elsewhere_bytes: 0,
+            counted_bytes: 0,
+            budget,
+        }
+    }
+
+    /// Appends received bytes, unless the input becomes too large to keep.
+    pub fn append(&mut self, bytes: &[u8]) {
+        let length = self.bytes.len() + bytes.len();
+        if self.too_large || length > MAX_UNANSWERED_BYTES {
+            self.too_large = true;
+            (self.bytes, self.complete_lengths, self.incomplete_bytes) = Default::default();
+        } else {
+            if length > self.bytes.capacity() && length > SMALL_INPUT_BYTES {
+                self.bytes.reserve_exact(length.next_multiple_of(GROWTH_BYTES) - self.bytes.len());
+            }
+            self.bytes.extend_from_slice(bytes);
+        }
+        self.update_budget();
+    }
+
+    /// Adds bytes to the length of the incomplete request.
+    pub fn add_to_incomplete(&mut self, count: usize) {
+        self.incomplete_bytes += count;
+    }
+
+    /// Records that the incomplete request is complete.
+    pub fn complete_request(&mut self) {
+        self.complete_lengths.push_back(std::mem::take(&mut self.incomplete_bytes));
+    }
+
+    /// Returns whether there is a complete request.
+    pub fn has_complete_request(&self) -> bool {
+        !self.complete_lengths.is_empty()
+    }
+
+    /// Discards the first complete request, as it is answered. Returns whether there was one.
+    pub fn discard_first(&mut self) -> bool {
+        let first = self.complete_lengths.pop_front();
+        self.bytes.drain(..first.unwrap_or(0).min(self.bytes.len()));
+        if self.bytes.is_empty() {
+            self.bytes = Vec::new();
+        }
+        self.elsewhere_bytes = 0;
+        self.update_budget();
+        first.is_some()
+    }
+
+    /// Returns a copy of the body of the first complete request, which has this length.
+    pub fn first_body(&self, length: usize) -> Option<Bytes> {
+        let request = self.bytes.get(..*self.complete_lengths.front()?)?;
+        let (head, body) = request.split_at_checked(request.len().checked_sub(length)?)?;
+        head.ends_with(b"\n").then(|| Bytes::copy_from_slice(body))
+    }
+
+    /// Returns the input for another process, unless it was too large to keep.
+    pub fn to_hand_over(&self) -> Option<Vec<u8>> {
+        (!self.too_large).then(|| self.bytes.clone())
+    }
+
+    /// Records that this many more bytes of the current request are held elsewhere.
+    pub fn hold_elsewhere(&mut self, count: usize) {
+        self.elsewhere_bytes += count;
+        self.update_budget();
+    }
+
+    /// Returns whether more may be read, see [`InputBudget::may_read`].
+    pub fn may_read(&self, connection: u64, waker: &Waker) -> bool {
+        self.budget.may_read(connection, self.counted_bytes, waker)
+    }
+
+    /// Returns whether so much is held that a connection may have to wait for room.
+    pub fn is_large(&self) -> bool {
+        self.counted_bytes >= SMALL_INPUT_BYTES
+    }
+
+    fn update_budget(&mut self) {
+        let held = self.bytes.len() + self.elsewhere_bytes;
+        self.budget.update(self.counted_bytes, held);
+        self.counted_bytes = held;
+    }
+}
+
+impl Drop for UnansweredInput {
+    fn drop(&mut self) {
+        self.budget.update(self.counted_bytes, 0);
+    }
+}
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -160,6 +160,13 @@
         value.unwrap_or(0)
     }
 
+    /// Returns the process's largest resident memory so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     /// Whether any log line contains this text.
     pub fn logged(&self, text: &str) -> bool {
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
