--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 //! of storing and replying is described in the crate's documentation.
 
 use crate::destination_table::DestinationTable;
+use crate::ended_messages::EndedMessages;
 use crate::message::{Attempt, AttemptEnd, FinalAnswer, FrontReply, Input, Message, Output, Rejection};
 use crate::open_messages::{AttemptInFlight, OpenMessage, OpenMessages};
 use crate::store::Store;
@@ -10,7 +11,7 @@
 use crate::untried::UntriedStats;
 
 use linenhall::{Action, Effect, Event, KeyPause, Outage, Outcome, Relay, Settings};
-use mulleinslip_journal::{AcceptedMessage, GivenUp, OutageRecord};
+use mulleinslip_journal::{AcceptedMessage, EndedMessage, GivenUp, OutageRecord};
 use std::collections::HashMap;
 use std::fmt;
 
@@ -79,6 +80,7 @@
     names: Names,
     store: S,
     open_messages: OpenMessages<R>,
+    ended_messages: EndedMessages,
     tally: Tally,
     /// Counts of the untried messages that a restart found.
     untried: UntriedStats,
@@ -125,6 +127,7 @@
             names,
             store,
             open_messages: OpenMessages::default(),
+            ended_messages: EndedMessages::default(),
             tally,
             untried: UntriedStats::default(),
             destination_table: DestinationTable::default(),
@@ -176,11 +179,11 @@
                 Input::Submitted(message, ticket) => {
                     self.submitted(now, *message, ticket, &mut events, &mut submissions, outputs)
                 }
-                Input::Withdrawn { id } => events.extend(self.withdrawn(id, &mut withdrawn, outputs)),
+                Input::Withdrawn { id } => events.extend(self.withdrawn(now, id, &mut withdrawn, outputs)),
                 Input::Ended { id, attempt, took_ms, end } => {
                     self.attempt_ended(now, (id, attempt), took_ms, end, &mut events, outputs);
                 }
-                Input::DeliveryVerified { id } => events.extend(self.delivery_verified(id, outputs)),
+                Input::DeliveryVerified { id } => events.extend(self.delivery_verified(now, id, outputs)),
                 Input::DeliveryDoubted { id, retry_after } => {
                     self.delivery_doubted(id, outputs);
                     events.extend(retry_after.map(|told| {
@@ -195,7 +198,7 @@
                     events.push(Event::ListUpdate(list));
                 }
                 Input::AnswersConfirmed(ids) => {
-                    events.extend(ids.into_iter().filter_map(|id| self.confirm(id, outputs)));
+                    events.extend(ids.into_iter().filter_map(|id| self.confirm(now, id, outputs)));
                 }
                 Input::Stop { calls_end_at } => {
                     self.stopping = true;
@@ -209,7 +212,7 @@
         if !events.is_empty() {
             self.run_round(now, &events, submissions, outputs);
         }
-        withdrawn.into_iter().for_each(|id| self.record_ended(id, outputs));
+        withdrawn.into_iter().for_each(|id| self.record_ended(now, id, false, outputs));
         outputs.extend(self.untried.take_log_line().map(Output::Log));
     }
 
@@ -285,6 +288,9 @@
         if let Some(id) = existing.filter(|_| !undecided) {
             return outputs.push(Output::Reply(FrontReply::Duplicate { id, ticket }));
         }
+        if let Some(delivered) = self.ended_messages.find(&message.call_id, now) {
+            return outputs.push(Output::Reply(FrontReply::Ended { delivered, ticket }));
+        }
         let Some(class) = self.settings.classes.get(message.class) else {
             let why = Rejection::Failed;
             return outputs.push(Output::Reply(FrontReply::Rejected { ticket, why }));
@@ -334,11 +340,11 @@
     /// Handles the withdrawal of a message. Returns the event for the module, if it needs one. A message whose
     /// order key the module pauses is added to `withdrawn`: its end may be recorded only after the pause.
     fn withdrawn<T>(
-        &mut self, id: u64, withdrawn: &mut Vec<u64>, outputs: &mut Vec<Output<T, R>>,
+        &mut self, now: f64, id: u64, withdrawn: &mut Vec<u64>, outputs: &mut Vec<Output<T, R>>,
     ) -> Option<Event> {
         if self.take_unverified(id).is_some() {
             let in_order = self.open_messages.get(id)?.in_order;
-            self.record_ended(id, outputs);
+            self.record_ended(now, id, true, outputs);
             return in_order.then_some(Event::AnswerConfirmed { id });
         }
         let message = self.open_messages.get(id).filter(|m| !m.finished)?;
@@ -347,7 +353,7 @@
         self.open_messages.finish(id);
         match pauses_key {
             true => withdrawn.push(id),
-            false => self.record_ended(id, outputs),
+            false => self.record_ended(now, id, false, outputs),
         }
         Some(Event::Withdrawn { id })
     }
@@ -370,7 +376,7 @@
                 Some(response) if outcome == Outcome::Delivered => {
                     self.delivered(now, id, response, verification_ms, events, outputs)
                 }
-                response => self.finish_with_answer(id, FinalAnswer::EndedByPartner(response), outputs),
+                response => self.finish_with_answer(now, id, FinalAnswer::EndedByPartner(response), outputs),
             }
             return events.push(event);
         }
@@ -583,16 +589,27 @@
     }
 
     /// Handles the confirmation of a final answer. Returns the event for the module, if it needs one.
-    fn confirm<T>(&mut self, id: u64, outputs: &mut Vec<Output<T, R>>) -> Option<Event> {
+    fn confirm<T>(&mut self, now: f64, id: u64, outputs: &mut Vec<Output<T, R>>) -> Option<Event> {
         let in_order = self.open_messages.get(id).filter(|m| m.unconfirmed)?.in_order;
         self.open_messages.set_unconfirmed(id, false);
-        self.record_ended(id, outputs);
+        self.record_ended(now, id, false, outputs);
         in_order.then_some(Event::AnswerConfirmed { id })
     }
 
-    /// Records that a message needs nothing more, and drops it unless an attempt is still in flight.
-    fn record_ended<T>(&mut self, id: u64, outputs: &mut Vec<Output<T, R>>) {
-        if let Err(e) = self.store.record_ended(id) {
+    /// Records that a message needs nothing more, and drops it unless an attempt is still in flight. Remembers one
+    /// that may have run and must not run again.
+    fn record_ended<T>(&mut self, now: f64, id: u64, delivered: bool, outputs: &mut Vec<Output<T, R>>) {
+        let message = self.open_messages.get(id).filter(|message| message.may_run());
+        let effect = |class: usize| self.settings.classes.get(class).map(|class| class.effect);
+        let unrepeatable = message.filter(|message| effect(message.class) != Some(Effect::Safe));
+        let ended =
+            unrepeatable.map(|message| EndedMessage { call_id: message.call_id.clone(), delivered, at: now });
+        ended.iter().for_each(|message| self.ended_messages.add(message));
+        let recorded = match ended {
+            Some(message) => self.store.record_ended_remembered(id, message),
+            None => self.store.record_ended(id),
+        };
+        if let Err(e) = recorded {
             outputs.push(Output::Log(format!(
                 "journal: {e}; after a restart a message will be ended a second time"
             )));
--- a/crates/engine/src/engine/deliveries.rs
+++ b/crates/engine/src/engine/deliveries.rs
@@ -23,7 +23,7 @@
         let is_late = now >= last_moment;
         let unverified = verification_ms > 0.0;
         if !is_late && !unverified {
-            return self.finish_with_answer(id, FinalAnswer::Delivered(response), outputs);
+            return self.finish_with_answer(now, id, FinalAnswer::Delivered(response), outputs);
         }
         events.extend(message.in_order.then_some(Event::AnswerExpected { id }));
         // A final answer is pending from now on, also for the next process if this one is killed.
@@ -40,10 +40,12 @@
     }
 
     /// Handles [`crate::Input::DeliveryVerified`]. Returns the event for the module, if it needs one.
-    pub(super) fn delivery_verified<T>(&mut self, id: u64, outputs: &mut Vec<Output<T, R>>) -> Option<Event> {
+    pub(super) fn delivery_verified<T>(
+        &mut self, now: f64, id: u64, outputs: &mut Vec<Output<T, R>>,
+    ) -> Option<Event> {
         let response = self.take_unverified(id)?;
         let in_order = self.open_messages.get(id)?.in_order;
-        self.send_last(id, FinalAnswer::Delivered(response), outputs);
+        self.send_last(now, id, FinalAnswer::Delivered(response), outputs);
         in_order.then_some(Event::AnswerConfirmed { id })
     }
 
@@ -71,20 +73,21 @@
 
     /// Ends a message with the partner's response as its final answer.
     pub(super) fn finish_with_answer<T>(
-        &mut self, id: u64, answer: FinalAnswer<R>, outputs: &mut Vec<Output<T, R>>,
+        &mut self, now: f64, id: u64, answer: FinalAnswer<R>, outputs: &mut Vec<Output<T, R>>,
     ) {
         let Some(message) = self.open_messages.get(id) else { return };
         self.tally.count_final_answer(message.class, &answer);
         self.open_messages.finish(id);
-        self.send_last(id, answer, outputs);
+        self.send_last(now, id, answer, outputs);
     }
 
     /// Sends a final answer that needs no confirmation.
-    fn send_last<T>(&mut self, id: u64, answer: FinalAnswer<R>, outputs: &mut Vec<Output<T, R>>) {
+    fn send_last<T>(&mut self, now: f64, id: u64, answer: FinalAnswer<R>, outputs: &mut Vec<Output<T, R>>) {
         let Some(message) = self.open_messages.get(id) else { return };
         let call_id = message.call_id.clone();
+        let delivered = matches!(answer, FinalAnswer::Delivered(_));
         // No attempt outcome is recorded for a finished message, as its end is recorded at once.
-        self.record_ended(id, outputs);
+        self.record_ended(now, id, delivered, outputs);
         outputs.push(Output::Reply(FrontReply::Final { id, call_id, answer }));
     }
 
--- a/crates/engine/src/engine/restore.rs
+++ b/crates/engine/src/engine/restore.rs
@@ -17,6 +17,7 @@
         &mut self, now: f64, lists: Vec<ListUpdate>, recovered: RecoveredState, previous: &Predecessor,
         outputs: &mut Vec<Output<T, R>>,
     ) {
+        recovered.ended.iter().for_each(|message| self.ended_messages.add(message));
         let mut events = Vec::new();
         for list in lists {
             self.destination_table.apply(&list, now, self.destination_retention_ms);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,6 +16,7 @@
 #![warn(missing_docs)]
 
 mod destination_table;
+mod ended_messages;
 mod engine;
 mod message;
 mod open_messages;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -10,7 +10,8 @@
 /// A message as a front submits it, parsed and validated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
-    /// The sender's id for the message. While it is open, another message with this id is a duplicate of it.
+    /// The sender's id for the message. While it is open, another message with this id is a duplicate of it. One
+    /// that may have run and may not be repeated is remembered for a while after its end.
     pub call_id: String,
     /// Index of its class.
     pub class: usize,
@@ -88,6 +89,13 @@
         /// The ticket that was submitted with the message.
         ticket: T,
     },
+    /// A message with this id has ended already, may have run, and must not run again. No other answer follows.
+    Ended {
+        /// Whether it was delivered. Else it was given up, and its sender was told so.
+        delivered: bool,
+        /// The ticket that was submitted with the message.
+        ticket: T,
+    },
     /// The message is not accepted. No other answer follows.
     Rejected {
         /// The ticket that was submitted with the message.
--- a/crates/engine/src/open_messages.rs
+++ b/crates/engine/src/open_messages.rs
@@ -39,6 +39,11 @@
 }
 
 impl<R> OpenMessage<R> {
+    /// Returns whether an attempt may have run or may still run.
+    pub fn may_run(&self) -> bool {
+        self.may_have_run || self.in_flight.iter().any(|attempt| attempt.begun)
+    }
+
     /// Returns whether nothing more has to be done for it.
     fn is_done(&self) -> bool {
         self.finished && !self.unconfirmed && !self.unverified && self.in_flight.is_empty()
--- a/crates/engine/src/store.rs
+++ b/crates/engine/src/store.rs
@@ -1,6 +1,6 @@
 //! Storage for data that must survive the process.
 
-use mulleinslip_journal::{AcceptedMessage, GivenUp, Journal, OutageRecord};
+use mulleinslip_journal::{AcceptedMessage, EndedMessage, GivenUp, Journal, OutageRecord};
 use std::fmt::Display;
 
 /// Stores the accepted messages and the attempts made for them. A call that returns `Ok` has stored its data;
@@ -23,6 +23,9 @@
     fn record_key_pause(&mut self, key: &str, until: f64, now: f64) -> Result<(), Self::Error>;
     /// Records that a message has ended and that nothing more has to be done for it.
     fn record_ended(&mut self, id: u64) -> Result<(), Self::Error>;
+    /// Records that a message has ended and that nothing more has to be done for it, and remembers it for a later
+    /// process as long as there is room.
+    fn record_ended_remembered(&mut self, id: u64, ended: EndedMessage) -> Result<(), Self::Error>;
     /// Records the outages that the module knows of, in place of any recorded before.
     fn record_outages(&mut self, outages: Vec<OutageRecord>) -> Result<(), Self::Error>;
 }
@@ -49,6 +52,9 @@
     fn record_ended(&mut self, id: u64) -> Result<(), Self::Error> {
         Journal::record_ended(self, id)
     }
+    fn record_ended_remembered(&mut self, id: u64, ended: EndedMessage) -> Result<(), Self::Error> {
+        Journal::record_ended_remembered(self, id, ended)
+    }
     fn record_outages(&mut self, outages: Vec<OutageRecord>) -> Result<(), Self::Error> {
         Journal::record_outages(self, outages)
     }
@@ -79,6 +85,9 @@
     fn record_ended(&mut self, _: u64) -> Result<(), Self::Error> {
         Ok(())
     }
+    fn record_ended_remembered(&mut self, _: u64, _: EndedMessage) -> Result<(), Self::Error> {
+        Ok(())
+    }
     fn record_outages(&mut self, _: Vec<OutageRecord>) -> Result<(), Self::Error> {
         Ok(())
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -2,7 +2,8 @@
 //! random seed. The rules for deliveries and answers are checked at each event.
 use linenhall::{Class, DedupScope, Effect, Endpoint, EndpointStatus, ListUpdate, Outcome, Settings};
 use mulleinslip_engine::journal::{
-    AcceptedMessage, Attempt as RecordedAttempt, GivenUp, OutageRecord, RecoveredMessage, RecoveredState,
+    AcceptedMessage, Attempt as RecordedAttempt, EndedMessage, GivenUp, OutageRecord, RecoveredMessage,
+    RecoveredState,
 };
 use mulleinslip_engine::{
     Attempt, AttemptEnd, Engine, FinalAnswer, FrontReply, Input, Message, Names, Output, Predecessor,
@@ -67,6 +68,7 @@
     pub messages: BTreeMap<u64, RecoveredMessage>,
     pub outages: Vec<OutageRecord>,
     pub key_pauses: Vec<(String, f64)>,
+    pub ended: Vec<EndedMessage>,
     /// Which calls to the store fail from now on.
     pub failure: StoreFailure,
     pub writes: u64,
@@ -90,6 +92,7 @@
             messages: state.messages.values().cloned().collect(),
             outages: state.outages.clone(),
             key_pauses: state.key_pauses.clone(),
+            ended: state.ended.clone(),
             ..RecoveredState::default()
         }
     }
@@ -161,6 +164,10 @@
         state.messages.remove(&id);
         Ok(())
     }
+    fn record_ended_remembered(&mut self, id: u64, ended: EndedMessage) -> Result<(), Self::Error> {
+        self.0.borrow_mut().ended.push(ended);
+        self.record_ended(id)
+    }
     fn record_outages(&mut self, outages: Vec<OutageRecord>) -> Result<(), Self::Error> {
         self.0.borrow_mut().outages = outages;
         Ok(())
@@ -582,7 +589,7 @@
                     .accepted = true;
                 self.call_ids.insert(id, ticket);
             }
-            FrontReply::Duplicate { ticket, .. } => {
+            FrontReply::Duplicate { ticket, .. } | FrontReply::Ended { ticket, .. } => {
                 panic!("seed {seed}: {ticket} was submitted once and counted as a duplicate")
             }
             FrontReply::Rejected { ticket, why } => {
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -29,7 +29,9 @@
             FrontReply::Rejected { ticket, why: Rejection::Refused { retry_after_ms } } => {
                 (ticket, Answer::Refused { retry_after_ms })
             }
-            FrontReply::Rejected { ticket, why: Rejection::Failed } => (ticket, Answer::Failed),
+            FrontReply::Ended { ticket, delivered: true } => (ticket, Answer::Accepted),
+            FrontReply::Ended { ticket, delivered: false }
+            | FrontReply::Rejected { ticket, why: Rejection::Failed } => (ticket, Answer::Failed),
             FrontReply::Final { id, call_id, answer } => {
                 let outcome = match &answer {
                     FinalAnswer::Delivered(()) => "delivered",
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -2,13 +2,16 @@
 //! them. Records are not synced to disk, as written data survives the end of the process. Each record is
 //! framed by a marker, its length and its checksum, so that a torn or damaged record does not affect others.
 
+mod ended;
 mod hosts;
 mod key_pauses;
 mod record;
 
+pub use ended::{EndedMessage, ENDED_RETENTION_MS};
 pub use hosts::HostChange;
 pub use record::{AcceptedMessage, GivenUp, OutageRecord, StoredHost, StoredList, TombstoneRecord};
 
+use ended::EndedTable;
 use hosts::HostTable;
 use key_pauses::KeyPauses;
 use record::{frame, read_records, Record};
@@ -23,6 +26,9 @@
 /// Records about hosts may take this fraction (one fifth) of the folder, and twice as much during a
 /// compaction. Into 3 MB fit 4,096 tombstones, and 3,200 hosts beside as many that are leaving.
 const HOSTS_DIVISOR: u64 = 5;
+/// Ended messages that are remembered may take this fraction of the folder, and twice as much during a compaction.
+/// Into 3 MB fit 3,300 with ids of 32 characters.
+const ENDED_DIVISOR: u64 = 16;
 /// Pauses of keys may take this fraction of the space that is reserved for the records of accepted messages.
 const KEY_PAUSES_DIVISOR: u64 = 2;
 /// Minimum size of a stored host, in bytes.
@@ -66,6 +72,7 @@
     live_bytes: u64,
     hosts: HostTable,
     key_pauses: KeyPauses,
+    ended: EndedTable,
     max_bytes: u64,
     /// Space that is reserved for the records of messages that are already accepted.
     reserve_bytes: u64,
@@ -76,6 +83,8 @@
 pub struct RecoveredState {
     pub messages: Vec<RecoveredMessage>,
     pub outages: Vec<OutageRecord>,
+    /// The messages that ended lately and are remembered, the oldest first, perhaps for longer than their time.
+    pub ended: Vec<EndedMessage>,
     /// Order keys and the wall-clock times until which they are paused, perhaps past ones.
     pub key_pauses: Vec<(String, f64)>,
     /// The tombstones, the oldest first.
@@ -134,6 +143,7 @@
             live_bytes: 0,
             hosts: HostTable::default(),
             key_pauses: KeyPauses::default(),
+            ended: EndedTable::default(),
             max_bytes,
             reserve_bytes,
         };
@@ -201,6 +211,10 @@
                 | Record::Tombstone(..)
                 | Record::TombstoneRemoved(_)
                 | Record::HostList(_)) => self.hosts.apply(record, bytes),
+                Record::Remembered(ended) => {
+                    self.ended.add(ended.at, bytes, self.max_bytes / ENDED_DIVISOR);
+                    recovered.ended.push(ended);
+                }
                 Record::KeyPaused(key, until) => self.key_pauses.set(key, until, bytes),
                 Record::AttemptBegun(id, number, at, endpoint) => {
                     let Some(message) = messages.get_mut(&id) else { continue };
@@ -241,6 +255,7 @@
         let new_path = self.path.with_extension("new");
         let mut contents = Vec::with_capacity(self.live_size() as usize);
         self.live.values().for_each(|frames| contents.extend_from_slice(frames));
+        self.ended.write_to(&mut contents);
         self.hosts.write_to(&mut contents);
         self.key_pauses.write_to(&mut contents);
         let written = fs::write(&new_path, &contents).and_then(|()| fs::rename(&new_path, &self.path));
@@ -255,7 +270,7 @@
 
     /// Returns the size of all live records, which is what a compacted file has.
     fn live_size(&self) -> u64 {
-        self.live_bytes + self.hosts.bytes() + self.key_pauses.bytes()
+        self.live_bytes + self.hosts.bytes() + self.key_pauses.bytes() + self.ended.bytes()
     }
 
     /// Returns whether the folder was released to another process.
@@ -347,6 +362,24 @@
         self.append(id, &Record::Ended(id), 0)
     }
 
+    /// Records that a message has ended, and remembers it for [`ENDED_RETENTION_MS`] while there is room.
+    ///
+    /// # Errors
+    /// Any error of writing. Nothing is recorded then.
+    pub fn record_ended_remembered(&mut self, id: u64, ended: EndedMessage) -> io::Result<()> {
+        let at = ended.at;
+        let remembered = frame(&Record::Remembered(ended))?;
+        // In one write, and the end last: a message that is torn between them is still open.
+        let both = [&remembered[..], &frame(&Record::Ended(id))?].concat();
+        match self.write(&both, 0) {
+            Err(e) if e.kind() == io::ErrorKind::StorageFull => return self.record_ended(id),
+            other => other?,
+        }
+        self.remove_live(id);
+        self.ended.add(at, remembered, self.max_bytes / ENDED_DIVISOR);
+        Ok(())
+    }
+
     /// Returns what the stored hosts stand for.
     pub fn stored_list(&self) -> &StoredList {
         self.hosts.list()
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -1,6 +1,7 @@
 //! The records of the journal, and the frames in which they are stored: the order and types of variants and
 //! fields must not change, as a relay reads journals of earlier versions.
 
+use crate::ended::EndedMessage;
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
@@ -59,6 +60,8 @@
     HostList(StoredList),
     /// No other message of this key is sent before this wall-clock time. Replaces any earlier record of the key.
     KeyPaused(String, f64),
+    /// A message ends and is remembered by its sender's id. [`Record::Ended`] follows.
+    Remembered(EndedMessage),
 }
 
 /// Destination, endpoint, wall-clock time at which it recovered (if it has), and deliveries per second before
--- a/crates/journal/tests/recorded.rs
+++ b/crates/journal/tests/recorded.rs
@@ -1,8 +1,8 @@
 //! Guards against changes of the stored format: a relay reads journals of earlier versions, and during a
 //! takeover two versions run at the same time.
 use mulleinslip_journal::{
-    AcceptedMessage, Attempt, GivenUp, HostChange, Journal, OutageRecord, RecoveredMessage, StoredHost,
-    StoredList, TombstoneRecord,
+    AcceptedMessage, Attempt, EndedMessage, GivenUp, HostChange, Journal, OutageRecord, RecoveredMessage,
+    StoredHost, StoredList, TombstoneRecord,
 };
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -11,6 +11,7 @@
 const SAMPLE: &[u8] = include_bytes!("recorded/journal.bin");
 const SAMPLE_WITH_HOSTS: &[u8] = include_bytes!("recorded/journal-hosts.bin");
 const SAMPLE_WITH_KEY_PAUSES: &[u8] = include_bytes!("recorded/journal-key-pauses.bin");
+const SAMPLE_WITH_ENDED: &[u8] = include_bytes!("recorded/journal-ended.bin");
 const MAX_BYTES: u64 = 1024 * 1024;
 
 fn empty_folder(name: &str) -> PathBuf {
@@ -181,3 +182,25 @@
     let expected = [("key-7".to_string(), 1_764_770_007_000.5), ("key-8".to_string(), 1_764_770_006_000.25)];
     assert_eq!(recovered.key_pauses, expected);
 }
+
+/// The same for messages that ended and are remembered.
+#[test]
+fn remembered_ends_are_written_and_read_as_recorded() {
+    let folder = empty_folder("recorded-journal-ended");
+    let (mut journal, _) = Journal::open(folder.clone(), MAX_BYTES).unwrap();
+    let ended = |call_id: &str, delivered| EndedMessage {
+        call_id: call_id.into(),
+        delivered,
+        at: 1_764_770_005_000.5,
+    };
+    journal.record_accepted(5, keyed_message()).unwrap();
+    journal.record_accepted(6, plain_message("call-b")).unwrap();
+    journal.record_ended_remembered(5, ended("call-a", true)).unwrap();
+    journal.record_ended_remembered(6, ended("call-b", false)).unwrap();
+    let written = fs::read(folder.join("journal")).unwrap();
+    assert_eq!(written, SAMPLE_WITH_ENDED);
+    drop(journal);
+    let (_journal, recovered) = Journal::open(folder, MAX_BYTES).unwrap();
+    assert_eq!((recovered.damage_notes, recovered.messages), (vec![], vec![]));
+    assert_eq!(recovered.ended, [ended("call-a", true), ended("call-b", false)]);
+}
--- a/crates/tower/src/front.rs
+++ b/crates/tower/src/front.rs
@@ -156,6 +156,9 @@
                 ticket.state.share(NOT_ACCEPTED);
                 self.duplicates.entry(id).or_default().push(ticket);
             }
+            FrontReply::Ended { ticket, delivered: _ } => {
+                let _abandoned = ticket.result.send(Err(Error::Failed { may_have_run: true, last: None }));
+            }
             FrontReply::Rejected { ticket, why } => {
                 let (may_have_run, last) = (false, None);
                 let _abandoned = ticket.result.send(Err(match why {
--- a/crates/tower/src/options.rs
+++ b/crates/tower/src/options.rs
@@ -21,7 +21,8 @@
     /// Order key: in classes that keep the order, calls with the same key are sent one at a time.
     pub order_key: Option<String>,
     /// The caller's id for the call, at most 256 bytes. Generated if `None`. While a call with this id is
-    /// open, a second call with the same id joins it and gets the same answer.
+    /// open, a second call with the same id joins it and gets the same answer. A call that may have run and must
+    /// not run again is remembered for a minute after its end; a second one with its id then fails.
     pub call_id: Option<String>,
 }
 
