--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -2,13 +2,15 @@
 //! what hyper doesn't report.
 
 use crate::audit::{self, Step};
+use crate::close::Socket;
 use crate::input_budget::InputBudget;
 use crate::unanswered_input::UnansweredInput;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Waker;
 use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Idle time after which a connection is closed; the protocol allows that after 2 s without an open request.
@@ -92,6 +94,8 @@
     above_keep_alive_limit: Rc<Cell<bool>>,
     /// Number of the connection in this process.
     pub number: u64,
+    /// The socket, while it is served here.
+    socket: RefCell<Weak<RefCell<TcpStream>>>,
     /// Id of the message whose answer is not written yet, while the audit log is on.
     audited_call_id: RefCell<Option<String>>,
 }
@@ -117,10 +121,23 @@
             permit_needed: Notify::new(),
             above_keep_alive_limit,
             number,
+            socket: RefCell::default(),
             audited_call_id: RefCell::default(),
         }
     }
 
+    /// Sets the socket that the connection is served on.
+    pub fn set_socket(&self, socket: &Socket) {
+        self.socket.replace(Rc::downgrade(socket));
+    }
+
+    /// Returns whether the client has reset the connection: nobody waits for an answer any more. What the client
+    /// had sent before can still be read. A client that has only ended its sending may wait.
+    pub fn is_reset(&self) -> bool {
+        let socket = self.socket.borrow().upgrade();
+        socket.is_some_and(|socket| !matches!(socket.borrow().take_error(), Ok(None)))
+    }
+
     fn set_phase(&self, phase: RequestPhase) {
         if self.phase.replace(phase) != phase {
             self.phase_since.set(Instant::now());
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -349,6 +349,7 @@
         let mut server = http1::Builder::new();
         server.max_buf_size(MAX_HEAD_BYTES);
         let socket: Socket = Rc::new(RefCell::new(stream));
+        connection.set_socket(&socket);
         let observed_socket =
             ObservedSocket { socket: socket.clone(), replay: (unread, 0), connection: connection.clone() };
         let mut conn = server.serve_connection(observed_socket, service);
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -84,7 +84,10 @@
                         let _sender_lives = self.paused.subscribe().wait_for(|paused| !paused).await.is_ok();
                     }
                     connection.set_answering();
-                    self.submit(message, connection).await
+                    match connection.is_reset() {
+                        true => refused_response(None),
+                        false => self.submit(message, connection).await,
+                    }
                 }
                 Err((status, why)) => plain_response(status, why),
             }
