--- a/crates/daemon/tests/departed_clients.rs
+++ b/crates/daemon/tests/departed_clients.rs
@@ -3,7 +3,7 @@
 use mulleinslip_testkit::*;
 use socket2::SockRef;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 const PROGRAM: Program = mulleinslip_testkit::program!();
 
@@ -102,6 +102,27 @@
     }
 }
 
+/// Guards against a client that has ended its sending, and gets no answer to a request that it wrote in full: it gets
+/// its answer, and its message is delivered.
+#[test]
+fn request_of_a_client_that_has_ended_its_sending_is_answered_and_sent_on() {
+    let host = Host::ok();
+    let agent = Agent::new(&[("host", 1, &host)]);
+    let relay = Relay::start(PROGRAM, &agent);
+    relay.submit_accepted_once_listed("safe", "listed", 1);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| relay.client()).collect();
+    while_held_up(&relay, || {
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.send(&message(&format!("half-{n}"), 20));
+            client.0.get_ref().shutdown(Shutdown::Write).unwrap();
+        }
+    });
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.answer().map(|answer| answer.status()), Some(202));
+        until("the delivery", || host.delivered(&format!("half-{n}")).then_some(()));
+    }
+}
+
 /// The same as the first test while another process takes over, in which submissions wait.
 #[test]
 fn request_of_a_client_that_resets_its_connection_during_a_takeover_is_not_sent_on() {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -347,7 +347,8 @@
         let _only_slower_if_it_fails = stream.set_nodelay(true);
         let service = service_fn(|request| self.intake.handle(request, connection));
         let mut server = http1::Builder::new();
-        server.max_buf_size(MAX_HEAD_BYTES);
+        // A client that has ended its sending may wait for its answer; one that is gone resets the connection.
+        server.max_buf_size(MAX_HEAD_BYTES).half_close(true);
         let socket: Socket = Rc::new(RefCell::new(stream));
         connection.set_socket(&socket);
         let observed_socket =
