--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -187,11 +187,16 @@
                     Discovery::new(first_agent, poll_cost).with_max_list_bytes(max_list_bytes)
                 }
                 (agent, first) = first_request => {
-                    if let Ok(list) = first {
-                        index = Some(list.index);
-                        if !membership_updates.apply(first_agent, list) {
-                            return;
+                    match first {
+                        // Another agent may have begun its versions anew: the full list is fetched next.
+                        Ok(list) if start_version.get().is_some_and(|start| list.index < start) => index = None,
+                        Ok(list) => {
+                            index = Some(list.index);
+                            if !membership_updates.apply(first_agent, list) {
+                                return;
+                            }
                         }
+                        Err(_) => {}
                     }
                     agent
                 }
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -215,8 +215,10 @@
     decoded.collect()
 }
 
-/// Returns the lists that came from `agent`, the newest last, and the highest version among them. The list of
-/// the old process may be newer than `first`, the one that this process has fetched, or the only one.
+/// Returns the lists that came from `agent`, and the version from which to go on; `None` if the full list has to
+/// be fetched. The list of the old process comes before `first`, the one that this process has fetched, or is the
+/// only one. If it has the higher version, it may be newer, or another agent may have begun its versions anew:
+/// this order keeps the departures of either list, and the full list tells the rest.
 pub fn decode_lists(
     state: &HandoverState, first: Option<List>, agent: SocketAddr,
 ) -> (Vec<List>, Option<u64>) {
@@ -230,11 +232,12 @@
             Err(e) => log(&format!("takeover: cannot read a part of the list: {e}")),
         }
     }
-    let index = [&first, &handed_over].into_iter().flatten().map(|list| list.index).max();
-    let mut lists: Vec<List> = handed_over.into_iter().chain(first).collect();
-    // The sort is stable: of two lists of the same version the one that this process fetched is last.
-    lists.sort_by_key(|list| list.index);
-    (lists, index)
+    let index = match (&first, &handed_over) {
+        (Some(first), Some(handed_over)) if first.index < handed_over.index => None,
+        (Some(first), _) => Some(first.index),
+        (None, handed_over) => handed_over.as_ref().map(|list| list.index),
+    };
+    (handed_over.into_iter().chain(first).collect(), index)
 }
 
 /// Restores Retry-After times from the rows of a frame.
--- a/crates/daemon/tests/drains.rs
+++ b/crates/daemon/tests/drains.rs
@@ -242,3 +242,94 @@
         assert_eq!(old.received().len(), calls_before, "a call went to the old address");
     }
 }
+
+/// How the relay comes to know an agent that has taken the place of another one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum AgentReplaced {
+    /// The old agent's connections end.
+    Closed,
+    /// They stay open and silent.
+    Silent,
+    /// The relay is killed before, and starts after it.
+    BeforeAStart,
+    /// Another process takes over right behind it.
+    BeforeATakeover,
+}
+
+/// A new agent at the address of the old one begins its versions anew; a host has left meanwhile. Guards against a
+/// relay that takes it for the old one and keeps the old list: messages went to whoever had the host's address. What a
+/// silent connection misses counts as told after 6 s, anything else at once, and after a takeover 2 s behind its yes.
+#[test]
+fn host_that_left_before_a_new_agent_took_the_place_of_the_old_one_gets_no_call() {
+    // The grace, 50 ms for each limit, and for a new connection.
+    const AT_ONCE: Duration = Duration::from_millis(250 + 50 + 100);
+    let play = |how: AgentReplaced, relays: usize, discovery: &str, first_version: u64| {
+        let case = format!("{how:?}, {relays} relays, {discovery}, versions from {first_version}");
+        let (leaving, host) = (Host::ok(), Host::ok());
+        let agent = Agent::new(&[("gone", 1, &leaving)]);
+        agent.answer_with_changes();
+        (0..40).for_each(|_| agent.list("gone", 1, leaving.address, "active"));
+        let mut config = config(agent.address);
+        config["settings"]["Balancers"] = json!(relays);
+        config["settings"]["Discovery"] = json!(discovery);
+        config["known"]["endpoints"] = json!([endpoint("gone", 1, &leaving, "active")]);
+        let mut relay = Relay::with(program!(), config, &agent);
+        until("a continued watch", || (agent.watches() > 1).then_some(()));
+        let replace = || agent.replace(first_version, &[("other", 2, &host), ("host", 1, &host)]);
+        let mut told_after =
+            if discovery == "push" { AT_ONCE } else { Duration::from_millis(6000) + AT_ONCE };
+        let mut old = None;
+        match how {
+            AgentReplaced::Closed => replace(),
+            AgentReplaced::Silent => {
+                agent.silence();
+                told_after = Duration::from_millis(6000) + AT_ONCE;
+                std::thread::sleep(Duration::from_millis(100));
+                replace();
+            }
+            AgentReplaced::BeforeAStart => relay = relay.killed(|_| replace()),
+            AgentReplaced::BeforeATakeover => {
+                replace();
+                let next = relay.beside();
+                old = Some(std::mem::replace(&mut relay, next));
+                told_after = told_after.max(Duration::from_millis(2000) + AT_ONCE);
+            }
+        }
+        std::thread::sleep(told_after);
+        let calls_before = leaving.received().len();
+        for number in 0..20 {
+            relay.take("safe", &format!("m{number}"), 1);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert_eq!(leaving.received().len(), calls_before, "{case}: calls to a host that has left");
+        until(&format!("deliveries: {case}"), || {
+            (0..20).all(|n| host.delivered(&format!("m{n}"))).then_some(())
+        });
+        // Its next changes are followed as well.
+        agent.list("third", 3, host.address, "active");
+        relay.submit_accepted_once_listed("safe", "third", 3);
+        until("the delivery", || host.delivered("third").then_some(()));
+        drop(old);
+    };
+    std::thread::scope(|scope| {
+        for (relays, discovery, first_version) in [
+            (1, "push", 0),
+            (1, "push", 100),
+            (300, "push", 0),
+            (300, "push", 100),
+            (3, "ask", 0),
+            (3, "ask", 100),
+            (8, "ask", 0),
+            (300, "ask", 0),
+        ] {
+            for how in [
+                AgentReplaced::Closed,
+                AgentReplaced::Silent,
+                AgentReplaced::BeforeAStart,
+                AgentReplaced::BeforeATakeover,
+            ] {
+                scope.spawn(move || play(how, relays, discovery, first_version));
+            }
+        }
+    });
+}
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -20,9 +20,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Default maximum size of a list, enough for thousands of hosts.
 pub const MAX_LIST_BYTES: usize = 1 << 20;
-/// Number of lists older than the current one, without a newer one between them, that show that discovery has
-/// restarted its version count.
-const MAX_OLDER_LISTS: u32 = 3;
+/// Minimum time between two full lists that are asked for at once because a list was older. Discovery may answer
+/// with older and newer lists in turn.
+const VERSION_RESET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Rejects a list that is older than the current one: its hosts may have been removed since.
 ///
@@ -198,6 +198,13 @@
         Ok(list)
     }
 
+    /// Prepares to ask for the full list, after an answer with a list that is older than the current one: another
+    /// agent may have taken the place of this one and begun its versions anew. Answers that may still come on the
+    /// connections so far are not accepted.
+    fn forget_connections(&mut self) {
+        (self.conn, self.overdue, self.is_watching) = (None, None, false);
+    }
+
     /// Pauses after a failed call. Returns early with the answer to a call that took too long, and if the
     /// address of the agent changes.
     async fn pause(&mut self, pause: Duration, agent: &mut watch::Receiver<SocketAddr>) -> Option<List> {
@@ -211,18 +218,20 @@
 
     /// Passes each list and the address of its agent to `on_list` until that returns `false`. `index` is the
     /// version of the current list, if one was fetched already; `agent` holds the agent's address. A list
-    /// that is malformed, incomplete or older than the current one changes nothing.
+    /// that is malformed, incomplete or older than the current one changes nothing. After an older one, and where
+    /// calls are free after any failure, the full list is asked for, which counts whatever its version is.
     pub async fn watch(
         mut self, mut index: Option<u64>, mut agent: watch::Receiver<SocketAddr>,
         on_list: impl Fn(SocketAddr, List) -> bool,
     ) {
-        let (mut failures, mut older_lists, mut late_list) = (0u32, 0u32, None);
+        let (mut failures, mut late_list) = (0u32, None);
+        let mut version_reset_at: Option<Instant> = None;
         loop {
             let address = *agent.borrow_and_update();
             if address != self.address {
                 // The pending watch is dropped with its connection. Version counts of two agents may differ.
                 self = Discovery::new(address, self.poll_cost).with_max_list_bytes(self.max_bytes);
-                (index, failures, older_lists, late_list) = (None, 0, 0, None);
+                (index, failures, late_list, version_reset_at) = (None, 0, None, None);
             }
             let began = Instant::now();
             let fetched = match late_list.take() {
@@ -236,7 +245,6 @@
             let checked = fetched.and_then(|list| check_not_older(index, &list).map(|()| list));
             match checked {
                 Ok(list) => {
-                    older_lists = 0;
                     if failures > 0 {
                         eprintln!("mulleinslip: discovery answers again");
                     }
@@ -250,11 +258,19 @@
                     if failures == 0 {
                         eprintln!("mulleinslip: discovery: {e}; the current list stays in force");
                     }
-                    older_lists += u32::from(e.kind() == FailureKind::OlderList);
-                    if older_lists >= MAX_OLDER_LISTS {
+                    let mut kind = e.kind();
+                    if self.poll_cost.call_after_failure() == ListCall::Full {
+                        index = None;
+                    }
+                    if kind == FailureKind::OlderList {
+                        self.forget_connections();
                         index = None;
+                        if version_reset_at.is_some_and(|at| at.elapsed() < VERSION_RESET_INTERVAL) {
+                            kind = FailureKind::Unanswered;
+                        }
+                        version_reset_at = Some(Instant::now());
                     }
-                    let pause = self.poll_cost.pause(failures, e.kind(), began.elapsed(), fastrand::f64());
+                    let pause = self.poll_cost.pause(failures, kind, began.elapsed(), fastrand::f64());
                     late_list = self.pause(pause, &mut agent).await;
                     failures = failures.saturating_add(1);
                 }
--- a/crates/http/src/schedule.rs
+++ b/crates/http/src/schedule.rs
@@ -53,7 +53,7 @@
 pub enum FailureKind {
     /// No answer, or an unreadable one.
     Unanswered,
-    /// The list is older than the current one. The next call may well be answered with a newer one.
+    /// The list is older than the current one. The next call is for the full list.
     OlderList,
     /// The list is longer than the relay reads.
     TooLarge,
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Returns what the call after a failed one asks for. Another agent may have taken the place of one that failed,
+    /// and begun its versions anew: what changed after a version of the old one is not all that changed.
+    pub fn call_after_failure(self) -> ListCall {
+        match self {
+            PollCost::Free => ListCall::Full,
+            PollCost::Costly => ListCall::FirstWatch,
+        }
+    }
+
     /// Whether the answer to a call that counts as failed is still accepted while the next call is made. It
     /// is where many relays may overload discovery, so that its answers come late but do come.
     pub fn accepts_late_answers(self) -> bool {
@@ -118,6 +127,7 @@
     /// row. `random` in 0 to 1 adds jitter, so that relays that lost the same discovery don't return to it
     /// together.
     pub fn pause(self, failures: u32, kind: FailureKind, elapsed: Duration, random: f64) -> Duration {
+        let failures = if kind == FailureKind::OlderList { 0 } else { failures };
         let (first_ms, max_ms) = match (self, kind) {
             (_, FailureKind::TooLarge) => TOO_LARGE_RETRY_MS,
             (PollCost::Free, _) | (_, FailureKind::OlderList) => FREE_RETRY_MS,
