--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -40,7 +40,7 @@
 /// end of [`SHUTDOWN_TIMES`].
 const FORCED_CLOSE_DELAY: Duration = Duration::from_millis(3300);
 /// Number of descriptors besides connections of clients and to hosts: standard streams 3, event loop and
-/// signals 5, listener and one client above the limit 2, journal 2, discovery 2, notices 2, the configuration
+/// signals 5, listener and one client above the limit 2, journal 2, discovery 4, notices 2, the configuration
 /// 1, the second address with its callers and one above their limit 10, the takeover socket and its copy of
 /// the listener 3; the rest is a reserve for the runtime.
 const OTHER_DESCRIPTORS: usize = 36;
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use mulleinslip_membership::List;
+use std::collections::VecDeque;
 use std::fmt;
-use std::future::{pending, Future};
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
@@ -101,8 +103,8 @@
     max_bytes: usize,
     /// Whether the last call was answered, so that the next watch continues it.
     is_watching: bool,
-    /// A call that took too long. Its answer is accepted until another call takes too long.
-    overdue: Option<PendingCall>,
+    /// Calls that took too long, the oldest first. Their answers are still accepted.
+    overdue: VecDeque<PendingCall>,
 }
 
 /// Makes a call for the list, on the connection if there is one.
@@ -127,23 +129,28 @@
     Ok(Answer { body, conn })
 }
 
-/// Waits for the answer to an overdue call; forever if there is none, or if it fails.
-async fn late_answer(overdue: &mut Option<PendingCall>) -> Answer {
-    if let Some(pending_call) = overdue {
-        let result = pending_call.await;
-        *overdue = None;
-        if let Ok(answer) = result {
-            return answer;
-        }
-    }
-    pending().await
+/// Waits for the first answer to an overdue call; forever if none comes. Drops calls that fail.
+async fn late_answer(overdue: &mut VecDeque<PendingCall>) -> Answer {
+    poll_fn(|cx| {
+        let mut answered = None;
+        overdue.retain_mut(|pending_call| match pending_call.as_mut().poll(cx) {
+            _ if answered.is_some() => true,
+            Poll::Pending => true,
+            Poll::Ready(result) => {
+                answered = result.ok();
+                false
+            }
+        });
+        answered.map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
 }
 
 impl Discovery {
     /// Creates a client; the connection is opened by the first call.
     pub fn new(address: SocketAddr, poll_cost: PollCost) -> Discovery {
         let max_bytes = MAX_LIST_BYTES;
-        Discovery { address, conn: None, poll_cost, max_bytes, is_watching: false, overdue: None }
+        Discovery { address, conn: None, poll_cost, max_bytes, is_watching: false, overdue: VecDeque::new() }
     }
 
     /// Sets the maximum size of a list, in bytes.
@@ -182,7 +189,10 @@
             answer = &mut pending_call => answer,
             late = late_answer(&mut self.overdue) => Ok(late),
             () = tokio::time::sleep(self.poll_cost.time_limit(list_call)) => {
-                self.overdue = Some(pending_call).filter(|_| self.poll_cost.accepts_late_answers());
+                self.overdue.push_back(pending_call);
+                if self.overdue.len() > self.poll_cost.max_overdue_calls() {
+                    self.overdue.pop_front();
+                }
                 Err(FetchError::Failed("no answer in time".into()))
             }
         };
@@ -192,7 +202,8 @@
     /// Reads the list of an answer, and keeps its connection. What an earlier call would still bring is in the
     /// answer to the next one.
     fn read(&mut self, Answer { body, conn }: Answer) -> Result<List, FetchError> {
-        (self.conn, self.overdue) = (Some(conn), None);
+        self.overdue.clear();
+        self.conn = Some(conn);
         let list = serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))?;
         self.is_watching = true;
         Ok(list)
@@ -202,7 +213,8 @@
     /// agent may have taken the place of this one and begun its versions anew. Answers that may still come on the
     /// connections so far are not accepted.
     fn forget_connections(&mut self) {
-        (self.conn, self.overdue, self.is_watching) = (None, None, false);
+        self.overdue.clear();
+        (self.conn, self.is_watching) = (None, false);
     }
 
     /// Pauses after a failed call. Returns early with the answer to a call that took too long, and if the
--- a/crates/http/src/discovery/tests.rs
+++ b/crates/http/src/discovery/tests.rs
@@ -142,7 +142,9 @@
 }
 
 /// Runs an agent that answers each call after this time, and returns when the relay had its first list.
-fn first_list_from_slow_agent(poll_cost: PollCost, answers_after: Duration) -> Option<Duration> {
+fn first_list_from_slow_agent(
+    poll_cost: PollCost, version: Option<u64>, answers_after: Duration,
+) -> Option<Duration> {
     let agent = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = agent.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -163,7 +165,7 @@
         let began = Instant::now();
         let first = Arc::new(Mutex::new(None));
         let recorder = first.clone();
-        let watching = Discovery::new(address, poll_cost).watch(Some(1), agent_address, move |_, _| {
+        let watching = Discovery::new(address, poll_cost).watch(version, agent_address, move |_, _| {
             *recorder.lock().unwrap() = Some(began.elapsed());
             false
         });
@@ -174,11 +176,19 @@
 }
 
 /// Guards against a relay that never has a list from a discovery service that answers slowly, as it gives up
-/// each call: the answer to a call that took too long is accepted while the next one is in flight.
+/// each call: the answer to a call that took too long is accepted while the next ones are in flight. Where few relays
+/// ask, a call counts as failed after 1 s.
 #[test]
 fn late_answer_of_a_slow_discovery_is_accepted() {
-    let answers_after = Duration::from_millis(6500);
-    let first = first_list_from_slow_agent(PollCost::Costly, answers_after);
-    let first = first.expect("the relay never had a list");
-    assert!(first < answers_after + Duration::from_millis(1500), "the first list came after {first:?}");
+    for (poll_cost, version, answers_after_ms) in [
+        (PollCost::Costly, Some(1), 6500),
+        (PollCost::Free, None, 1300),
+        (PollCost::Free, None, 2500),
+        (PollCost::Free, Some(1), 3800),
+    ] {
+        let answers_after = Duration::from_millis(answers_after_ms);
+        let first = first_list_from_slow_agent(poll_cost, version, answers_after);
+        let first = first.unwrap_or_else(|| panic!("{poll_cost:?}: no list after {answers_after:?}"));
+        assert!(first < answers_after + Duration::from_millis(1500), "the first list came after {first:?}");
+    }
 }
--- a/crates/http/src/schedule.rs
+++ b/crates/http/src/schedule.rs
@@ -108,10 +108,13 @@
         }
     }
 
-    /// Whether the answer to a call that counts as failed is still accepted while the next call is made. It
-    /// is where many relays may overload discovery, so that its answers come late but do come.
-    pub fn accepts_late_answers(self) -> bool {
-        self == PollCost::Costly
+    /// Returns the number of calls that count as failed and whose answers are still accepted: discovery may be slow,
+    /// so that its answers come late but do come. Where calls are free they count as failed early.
+    pub fn max_overdue_calls(self) -> usize {
+        match self {
+            PollCost::Free => 3,
+            PollCost::Costly => 1,
+        }
     }
 
     /// Returns the delay of a starting process's first call, as many relays may start at once; `random` is in
--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -26,6 +26,8 @@
     repeats_answers: bool,
     /// Version at which each host was last listed, by name.
     listed_at: HashMap<String, u64>,
+    /// Time that each answer to a call for the list takes.
+    delay: Duration,
     /// Whether watches are answered with what was listed since, rather than with the whole list.
     answers_changes: bool,
     /// All connections so far.
@@ -94,6 +96,11 @@
         state.endpoints.extend(rows);
     }
 
+    /// From now on, takes this long for each answer to a call for the list.
+    pub fn delay_lists(&self, delay: Duration) {
+        self.state.lock().unwrap().delay = delay;
+    }
+
     /// From now on, answers watches with the hosts that [`Agent::list`] has listed since their version.
     pub fn answer_with_changes(&self) {
         self.state.lock().unwrap().answers_changes = true;
@@ -256,7 +263,8 @@
                     drop(state);
                     std::thread::sleep(Duration::from_millis(2));
                 }
-                let body = self.list_after(after).to_string();
+                let (body, delay) = (self.list_after(after).to_string(), self.state.lock().unwrap().delay);
+                std::thread::sleep(delay);
                 self.state.lock().unwrap().framing.response(200, "", body.as_bytes())
             };
             let closes = self.state.lock().unwrap().framing.closes();
