--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -14,6 +14,7 @@
 use mulleinslip_journal::Journal;
 use mulleinslip_membership::View;
 use mulleinslip_runtime::{Clock, Predecessor, Runtime, ShutdownTimes};
+use mulleinslip_takeover::calls_lock::{CallsLock, HeldLocks};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -238,6 +239,10 @@
     spawn_local(clients.clone().serve(listener));
     if let Some(TakenOver { channel, .. }) = taken_over {
         log("goes on for another process");
+        let earlier_calls = CallsLock::held(&config.state).unwrap_or_else(|e| {
+            log(&format!("takeover: {e}"));
+            HeldLocks::default()
+        });
         if handover.drained {
             clients.drain(true);
         }
@@ -249,7 +254,7 @@
             clients,
             carrier,
             handle,
-            config.state.clone(),
+            earlier_calls,
         ));
     }
     let takeover_server = TakeoverServer {
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -7,7 +7,7 @@
 use mulleinslip_journal::{Journal, RecoveredState};
 use mulleinslip_membership::View;
 use mulleinslip_runtime::{Clock, ForwardedEnd};
-use mulleinslip_takeover::calls_lock::CallsLock;
+use mulleinslip_takeover::calls_lock::{CallsLock, HeldLocks};
 use mulleinslip_takeover::channel::{Channel, TakeoverListener};
 use mulleinslip_takeover::message::{
     AttemptEnd, ToNew, ToOld, FIRST_VERSION, MAX_LEARNT_ROWS, MAX_LIST_ROWS, MAX_ROWS, VERSION,
@@ -59,7 +59,7 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < FOLDER_TIMEOUT => {}
             Err(e) => return Err(e),
             Ok((journal, recovered)) => {
-                wait_for_calls_of_others(folder, FOLDER_TIMEOUT).await?;
+                wait_for_calls(&CallsLock::held(folder)?, FOLDER_TIMEOUT).await?;
                 return Ok((journal, recovered, None));
             }
         }
@@ -79,14 +79,14 @@
     }
 }
 
-/// Waits until no other process has calls in flight: nobody reports their ends to this process, and a message
-/// must not have a second attempt in flight.
+/// Waits until the processes that hold these locks have no calls in flight: nobody reports their ends to this
+/// process, and a message must not have a second attempt in flight.
 ///
 /// # Errors
 /// `WouldBlock` if a process still has calls in flight after `time_limit`, and any error of the lock.
-async fn wait_for_calls_of_others(folder: &Path, time_limit: Duration) -> io::Result<()> {
+async fn wait_for_calls(locks: &HeldLocks, time_limit: Duration) -> io::Result<()> {
     let start = Instant::now();
-    while CallsLock::is_held(folder)? {
+    while locks.any_remains()? {
         if start.elapsed() >= time_limit {
             let why = "another process has calls in flight, and nobody reports their ends";
             return Err(io::Error::new(ErrorKind::WouldBlock, why));
@@ -126,9 +126,11 @@
 }
 
 /// Takes over connections and ends of attempts from the old process until it exits. Cancels attempts there.
+/// `earlier_calls` are the locks that were held before this process let another one take over: those of the
+/// processes before it.
 pub async fn follow_old_process(
     channel: Channel, attempts_in_flight: Vec<(u64, u32)>, mut cancellations: UnboundedReceiver<(u64, u32)>,
-    clients: Rc<Clients>, carrier: Rc<HttpCarrier>, handle: Handle, folder: PathBuf,
+    clients: Rc<Clients>, carrier: Rc<HttpCarrier>, handle: Handle, earlier_calls: HeldLocks,
 ) {
     let mut in_flight: HashSet<(u64, u32)> = attempts_in_flight.into_iter().collect();
     loop {
@@ -194,7 +196,7 @@
     }
     // The old process has exited or can't be understood: its attempts in flight may have run.
     if !in_flight.is_empty() {
-        let waited = wait_for_calls_of_others(&folder, CALLS_TIMEOUT).await;
+        let waited = wait_for_calls(&earlier_calls, CALLS_TIMEOUT).await;
         waited.unwrap_or_else(|e| log(&format!("takeover: {e}")));
     }
     for (id, attempt) in in_flight {
--- a/crates/daemon/tests/takeover_of_attempts.rs
+++ b/crates/daemon/tests/takeover_of_attempts.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// Time that the message has. Longer than the start of its first attempt takes, shorter than a process that
@@ -153,3 +153,37 @@
         assert_eq!(*host.second_copies.lock().unwrap(), [""; 0], "takes over: {takes_over}");
     }
 }
+
+/// Guards against notices that come seconds after their messages' time: a process that had handed over itself waited for
+/// its own lock before it told that the calls of the process before it broke. The first process, with the calls, is
+/// killed once two or three others have taken over, shortly before the messages' time is up.
+#[test]
+fn messages_end_in_time_after_several_takeovers_and_the_end_of_the_first_process() {
+    const BUDGET_MS: u64 = 3500;
+    // A message has its end 300 ms after its time, and each limit is 50 ms longer.
+    const END_BY: Duration = Duration::from_millis(BUDGET_MS + 300 + 50);
+    for takeovers in [1, 2, 3] {
+        for class in ["unsafe", "keyed"] {
+            let host = HangingHost::default();
+            let agent = Agent::new(&[]);
+            agent.list("a", 1, host.start(), "active");
+            let mut first = Relay::start(program!(), &agent);
+            first.submit_accepted_once_listed("safe", "listed", 1);
+            let began = Instant::now();
+            assert_eq!(first.client().submit(class, "m", 1, BUDGET_MS, b"body").status(), 202);
+            until("the call", || (host.calls_of("m") == 1).then_some(()));
+            let mut next = vec![first.beside()];
+            for _ in 1..takeovers {
+                let following = next.last_mut().unwrap().beside();
+                next.push(following);
+            }
+            std::thread::sleep(Duration::from_millis(BUDGET_MS - 300).saturating_sub(began.elapsed()));
+            first.child.kill().unwrap();
+            first.child.wait().unwrap();
+            agent.wait_notice("m");
+            let ended_after = began.elapsed();
+            assert!(ended_after < END_BY, "{class}, {takeovers} takeovers: ended after {ended_after:?}");
+            assert_eq!(*host.second_copies.lock().unwrap(), [""; 0], "{class}, {takeovers} takeovers");
+        }
+    }
+}
