--- a/crates/journal/tests/ended.rs
+++ b/crates/journal/tests/ended.rs
@@ -1,17 +1,11 @@
 //! Messages that ended and are remembered in the journal.
+mod common;
+use common::empty_folder;
 use mulleinslip_journal::{AcceptedMessage, EndedMessage, Journal, ENDED_RETENTION_MS};
 use std::fs;
-use std::path::{Path, PathBuf};
 
 const MAX_BYTES: u64 = 256 * 1024;
 
-fn empty_folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ignored = fs::remove_dir_all(&folder);
-    fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 fn message(call_id: &str) -> AcceptedMessage {
     AcceptedMessage {
         call_id: call_id.into(),
--- a/crates/journal/tests/hosts.rs
+++ b/crates/journal/tests/hosts.rs
@@ -1,20 +1,15 @@
 //! What the journal keeps about hosts, over restarts, failed writes and damage.
+mod common;
+use common::empty_folder;
 use mulleinslip_journal::{HostChange, Journal, RecoveredState, StoredHost, StoredList};
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// A folder of three megabytes, as relays have.
 const MAX_BYTES: u64 = 3_000_000;
 /// The largest fleet has so many hosts.
 const HOSTS: usize = 3200;
 
-fn empty_folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ignored = fs::remove_dir_all(&folder);
-    fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 fn listed(number: usize) -> HostChange {
     HostChange::Listed(StoredHost {
         name: format!("s-{number:08x}"),
--- a/crates/journal/tests/key_pauses.rs
+++ b/crates/journal/tests/key_pauses.rs
@@ -1,14 +1,8 @@
 //! Pauses of order keys in the journal.
+mod common;
+use common::empty_folder;
 use mulleinslip_journal::Journal;
 use std::fs;
-use std::path::{Path, PathBuf};
-
-fn empty_folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ignored = fs::remove_dir_all(&folder);
-    fs::create_dir_all(&folder).unwrap();
-    folder
-}
 
 /// Guards against a journal that grows with each pause, and against a compaction that drops one that has not
 /// ended: the pauses of 10,000 keys, each over before the next one begins, in a folder of 64 KiB.
--- a/crates/journal/tests/recorded.rs
+++ b/crates/journal/tests/recorded.rs
@@ -1,11 +1,12 @@
 //! Guards against changes of the stored format: a relay reads journals of earlier versions, and during a
 //! takeover two versions run at the same time.
+mod common;
+use common::empty_folder;
 use mulleinslip_journal::{
     AcceptedMessage, Attempt, EndedMessage, GivenUp, HostChange, Journal, OutageRecord, RecoveredMessage,
     StoredHost, StoredList, TombstoneRecord,
 };
 use std::fs;
-use std::path::{Path, PathBuf};
 
 /// Written before hosts were recorded one by one: its last record has all tombstones.
 const SAMPLE: &[u8] = include_bytes!("recorded/journal.bin");
@@ -14,13 +15,6 @@
 const SAMPLE_WITH_ENDED: &[u8] = include_bytes!("recorded/journal-ended.bin");
 const MAX_BYTES: u64 = 1024 * 1024;
 
-fn empty_folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ignored = fs::remove_dir_all(&folder);
-    fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 fn keyed_message() -> AcceptedMessage {
     AcceptedMessage {
         call_id: "call-a".into(),
