--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -2,9 +2,8 @@
 //! what hyper doesn't report.
 
 use crate::audit::{self, Step};
-use crate::close::Socket;
 use crate::input_budget::InputBudget;
-use crate::unanswered_input::UnansweredInput;
+use crate::unanswered_input::{UnansweredInput, MAX_HEAD_BYTES};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
@@ -22,12 +21,12 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a large request while there is no room for the input of others.
 const LARGE_REQUEST_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
-/// Maximum size of a request's head, which is also hyper's buffer size. The head of a message has about 300
-/// bytes.
-pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers, the same as hyper's.
 const MAX_HEADERS: usize = 100;
 
+/// A client's socket, which hyper reads and writes and which outlives hyper's connection.
+pub type Socket = Rc<RefCell<TcpStream>>;
+
 /// How far the current request of a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RequestPhase {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -1,9 +1,10 @@
 //! Client connections: their number, time limits, draining and handover. Requests are handled in intake.rs.
 
-use crate::client_connection::{ClientConnection, CloseMode, RequestPhase, MAX_HEAD_BYTES};
-use crate::close::{self, Socket};
+use crate::client_connection::{ClientConnection, CloseMode, RequestPhase, Socket};
+use crate::close;
 use crate::input_budget::InputBudget;
 use crate::intake::{DrainMode, Intake};
+use crate::unanswered_input::MAX_HEAD_BYTES;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
--- a/crates/http/src/close.rs
+++ b/crates/http/src/close.rs
@@ -3,11 +3,9 @@
 //! first, and input is read and discarded until the client closes as well, within limits. Discarded requests
 //! are never processed: the client has seen the end of the connection and sends them again elsewhere.
 
-use crate::client_connection::ClientConnection;
-use std::cell::RefCell;
+use crate::client_connection::{ClientConnection, Socket};
 use std::io;
 use std::mem::MaybeUninit;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -27,9 +25,6 @@
 pub const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// A client's socket, which hyper reads and writes and which outlives hyper's connection.
-pub type Socket = Rc<RefCell<TcpStream>>;
-
 /// Returns whether the socket has unread input or was closed by the client. It asks the socket itself, as the
 /// event loop may not have processed new input yet.
 pub fn has_unread_input(socket: &Socket) -> bool {
--- a/crates/http/src/unanswered_input.rs
+++ b/crates/http/src/unanswered_input.rs
@@ -1,6 +1,5 @@
 //! The input of a client connection that is not answered yet, as received.
 
-use crate::client_connection::MAX_HEAD_BYTES;
 use crate::conn::MAX_BODY_BYTES;
 use crate::input_budget::{InputBudget, SMALL_INPUT_BYTES};
 use bytes::Bytes;
@@ -8,6 +7,9 @@
 use std::rc::Rc;
 use std::task::Waker;
 
+/// Maximum size of a request's head, which is also hyper's buffer size. The head of a message has about 300
+/// bytes.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum size of a request with its head, and of what may be read ahead; chunked encoding may make a request
 /// larger than its body.
 const MAX_UNANSWERED_BYTES: usize = 2 * MAX_HEAD_BYTES + MAX_BODY_BYTES + 16 * 1024;
