--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,17 +1,21 @@
 //! Test support: runs the relay as a process on loopback, with scripted partner hosts, a discovery agent and
 //! clients around it.
 mod agent;
+mod crowd;
 mod framing;
 #[cfg(feature = "grpc")]
 pub mod grpc;
 mod host;
+mod memory;
 mod partner;
 mod relay;
 mod wire;
 
 pub use agent::Agent;
+pub use crowd::{play_crowd, slow_requests, SlowRequest, MAX_BODY_BYTES};
 pub use framing::Framing;
 pub use host::{response, Host, Reply};
+pub use memory::{MemorySample, MemoryWatch};
 pub use partner::{Partner, PartnerCall, PartnerFaults, Random};
 pub use relay::{call, command, config, Client, Program, Relay, CONNECTION_REST};
 pub use wire::{receive, until, ReceivedRequest};
