--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -3,6 +3,7 @@
 
 use crate::audit::{self, Step};
 use crate::input_budget::InputBudget;
+use crate::request_head::{parse_head, ParsedHead};
 use crate::unanswered_input::{UnansweredInput, MAX_HEAD_BYTES};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -21,8 +22,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a large request while there is no room for the input of others.
 const LARGE_REQUEST_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
-/// Maximum number of headers, the same as hyper's.
-const MAX_HEADERS: usize = 100;
+
+/// Memory of the server of a streamed request: hyper's two buffers, and the request's headers.
+const STREAMING_SERVER_BYTES: usize = 32 * 1024;
 
 /// A client's socket, which hyper reads and writes and which outlives hyper's connection.
 pub type Socket = Rc<RefCell<TcpStream>>;
@@ -55,9 +57,10 @@
 }
 
 /// The part of a request that the next byte of a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum InputPosition {
-    /// In a head, with its bytes so far.
-    Head(Vec<u8>),
+    /// In a head.
+    Head,
     /// In a body, with the number of bytes that are missing.
     Body(u64),
     /// Further input is not examined, as no request is accepted after this one.
@@ -70,7 +73,10 @@
     pub phase: Cell<RequestPhase>,
     /// When the phase began.
     pub phase_since: Cell<Instant>,
-    position: RefCell<InputPosition>,
+    position: Cell<InputPosition>,
+    /// The current request is passed on as it comes: it may have to be answered before it is complete, or its end
+    /// is not known.
+    is_streamed: Cell<bool>,
     unanswered: RefCell<UnansweredInput>,
     /// Input is left unread as there is no room for it.
     awaits_room: Cell<bool>,
@@ -78,6 +84,8 @@
     answered_early: Cell<bool>,
     /// An answer is being written.
     writing_answer: Cell<bool>,
+    /// The current server has written its answer.
+    answer_written: Cell<bool>,
     /// A head with an ambiguous length was received: another request may hide in the body.
     is_ambiguous: Cell<bool>,
     close_mode: Cell<CloseMode>,
@@ -93,6 +101,8 @@
     above_keep_alive_limit: Rc<Cell<bool>>,
     /// Number of the connection in this process.
     pub number: u64,
+    /// The client is known to have reset the connection.
+    is_reset: Cell<bool>,
     /// The socket, while it is served here.
     socket: RefCell<Weak<RefCell<TcpStream>>>,
     /// Id of the message whose answer is not written yet, while the audit log is on.
@@ -107,11 +117,13 @@
         ClientConnection {
             phase: Cell::new(RequestPhase::Idle),
             phase_since: Cell::new(Instant::now()),
-            position: RefCell::new(InputPosition::Head(Vec::new())),
+            position: Cell::new(InputPosition::Head),
+            is_streamed: Cell::new(false),
             unanswered: RefCell::new(UnansweredInput::new(input_budget)),
             awaits_room: Cell::new(false),
             answered_early: Cell::new(false),
             writing_answer: Cell::new(false),
+            answer_written: Cell::new(false),
             is_ambiguous: Cell::new(false),
             close_mode: Cell::new(CloseMode::KeepOpen),
             close_requested: Notify::new(),
@@ -120,6 +132,7 @@
             permit_needed: Notify::new(),
             above_keep_alive_limit,
             number,
+            is_reset: Cell::new(false),
             socket: RefCell::default(),
             audited_call_id: RefCell::default(),
         }
@@ -134,7 +147,15 @@
     /// had sent before can still be read. A client that has only ended its sending may wait.
     pub fn is_reset(&self) -> bool {
         let socket = self.socket.borrow().upgrade();
-        socket.is_some_and(|socket| !matches!(socket.borrow().take_error(), Ok(None)))
+        if socket.is_some_and(|socket| !matches!(socket.borrow().take_error(), Ok(None))) {
+            self.set_reset();
+        }
+        self.is_reset.get()
+    }
+
+    /// Records that the client has reset the connection.
+    pub fn set_reset(&self) {
+        self.is_reset.set(true);
     }
 
     fn set_phase(&self, phase: RequestPhase) {
@@ -158,6 +179,7 @@
         if !self.unanswered.borrow_mut().discard_first() {
             self.answered_early.set(true);
         }
+        self.is_streamed.set(self.position.get() == InputPosition::Ignored);
         self.has_answered.set(true);
         // Input received along with the answered request may be part of the next one.
         self.set_phase(if self.is_between_requests() { RequestPhase::Idle } else { RequestPhase::Reading });
@@ -166,9 +188,8 @@
 
     /// Returns whether no received byte belongs to an unanswered request.
     fn is_between_requests(&self) -> bool {
-        let unanswered = self.unanswered.borrow();
-        match &*self.position.borrow() {
-            InputPosition::Head(head) => head.is_empty() && !unanswered.has_complete_request(),
+        match self.position.get() {
+            InputPosition::Head => self.unanswered.borrow().is_empty(),
             InputPosition::Body(_) => false,
             // No further request is accepted.
             InputPosition::Ignored => true,
@@ -211,6 +232,7 @@
     /// Called when everything that hyper had to write is written.
     pub fn on_flushed(&self) {
         if self.writing_answer.replace(false) {
+            self.answer_written.set(true);
             if let Some(id) = self.audited_call_id.take() {
                 audit::log_step(&id, || Step::AnswerWritten { client: self.number });
             }
@@ -255,11 +277,60 @@
         self.unanswered.borrow_mut().hold_elsewhere(count);
     }
 
-    /// Returns whether more input may be read. If not, `waker` is called when it may.
-    pub fn may_read(&self, waker: &Waker) -> bool {
-        let may_read = self.unanswered.borrow().may_read(self.number, waker);
-        self.awaits_room.set(!may_read);
-        may_read
+    /// Returns how many bytes may be read. If none, `waker` is called when some may.
+    pub fn readable_bytes(&self, waker: &Waker) -> usize {
+        let readable_bytes = self.unanswered.borrow().readable_bytes(self.number, waker);
+        self.awaits_room.set(readable_bytes == 0);
+        readable_bytes
+    }
+
+    /// Returns whether there is input that a server has to process: a complete request, or one that is streamed.
+    pub fn needs_server(&self) -> bool {
+        self.is_streamed.get() || self.unanswered.borrow().has_complete_request()
+    }
+
+    /// Returns whether there is room for a server of the current request. If not, `waker` is called when there may
+    /// be. A complete request is answered at once, so its server takes memory for a moment only.
+    pub fn may_be_served(&self, waker: &Waker) -> bool {
+        let unanswered = self.unanswered.borrow();
+        let may_be_served = unanswered.has_complete_request() || unanswered.has_room(self.number, waker);
+        self.awaits_room.set(!may_be_served);
+        may_be_served
+    }
+
+    /// Called when a server is created for the current request.
+    pub fn on_server_created(&self) {
+        self.answer_written.set(false);
+        if self.is_streamed.get() {
+            self.hold_elsewhere(STREAMING_SERVER_BYTES);
+        }
+    }
+
+    /// Returns whether the server has written an answer and is not needed until the next request has come.
+    pub fn is_served(&self) -> bool {
+        self.answer_written.get() && self.phase.get() != RequestPhase::Answering
+    }
+
+    /// Returns whether the server is given input as it comes.
+    pub fn is_streamed(&self) -> bool {
+        self.is_streamed.get()
+    }
+
+    /// Passes on input of the current request that the server has not read yet, `max_bytes` at most. Returns
+    /// whether there was any.
+    pub fn deliver_input(&self, max_bytes: usize, to: impl FnOnce(&[u8])) -> bool {
+        if !self.needs_server() || self.is_writing_answer() {
+            return false;
+        }
+        let mut unanswered = self.unanswered.borrow_mut();
+        let input = unanswered.deliver(max_bytes);
+        to(input);
+        !input.is_empty()
+    }
+
+    /// Frees the memory of input that is not answered any more.
+    pub fn discard_input(&self) {
+        self.unanswered.borrow_mut().clear();
     }
 
     /// Returns whether a part of a request was received, and there is no room for the rest.
@@ -291,7 +362,7 @@
             || self.answered_early.get()
             || self.above_keep_alive_limit.get()
             || self.close_mode.get() > CloseMode::KeepOpen
-            || matches!(*self.position.borrow(), InputPosition::Ignored)
+            || self.position.get() == InputPosition::Ignored
     }
 
     /// Returns whether the connection has been idle, or its request incomplete, for too long.
@@ -305,102 +376,70 @@
         now.saturating_duration_since(self.phase_since.get()) > limit
     }
 
-    /// Examines input before hyper gets it.
-    pub fn examine_input(&self, mut bytes: &[u8]) {
-        let mut position = self.position.borrow_mut();
-        let mut unanswered = self.unanswered.borrow_mut();
-        unanswered.append(bytes);
-        while !bytes.is_empty() {
-            match &mut *position {
-                InputPosition::Ignored => return,
-                InputPosition::Body(left) => {
-                    let count = (bytes.len() as u64).min(*left);
-                    *left -= count;
-                    bytes = bytes.get(count as usize..).unwrap_or_default();
-                    unanswered.add_to_incomplete(count as usize);
-                    if *left == 0 {
-                        unanswered.complete_request();
-                        *position = InputPosition::Head(Vec::new());
-                    }
-                }
-                InputPosition::Head(head) => {
-                    if self.phase.get() == RequestPhase::Idle {
-                        self.set_phase(RequestPhase::Reading);
-                    }
-                    let previous_len = head.len();
-                    head.extend_from_slice(bytes);
-                    let (next, length) = match parse_head(head) {
-                        ParsedHead::Incomplete if head.len() < MAX_HEAD_BYTES => {
-                            unanswered.add_to_incomplete(bytes.len());
-                            return;
-                        }
-                        // hyper rejects the request; no input after it is processed.
-                        ParsedHead::Incomplete | ParsedHead::Malformed => {
-                            (InputPosition::Ignored, head.len())
-                        }
-                        ParsedHead::Ambiguous => {
-                            self.is_ambiguous.set(true);
-                            (InputPosition::Ignored, head.len())
-                        }
-                        ParsedHead::Chunked(length) => (InputPosition::Ignored, length),
-                        ParsedHead::Sized(length, 0) => (InputPosition::Head(Vec::new()), length),
-                        ParsedHead::Sized(length, body) => (InputPosition::Body(body), length),
-                    };
-                    unanswered.add_to_incomplete(length.saturating_sub(previous_len));
-                    if matches!(next, InputPosition::Head(_)) {
-                        unanswered.complete_request();
-                    }
-                    bytes = bytes.get(length.saturating_sub(previous_len)..).unwrap_or_default();
-                    *position = next;
-                }
-            }
+    /// Keeps received input, and finds where its requests end.
+    pub fn receive(&self, bytes: &[u8]) {
+        self.unanswered.borrow_mut().append(bytes);
+        let mut unexamined = bytes.len();
+        while unexamined > 0 && self.position.get() != InputPosition::Ignored {
+            unexamined -= match self.position.get() {
+                InputPosition::Body(left) => self.examine_body(unexamined, left),
+                _ => self.examine_head(unexamined),
+            };
         }
     }
-}
 
-/// How a request is framed.
-enum ParsedHead {
-    /// The head is not complete.
-    Incomplete,
-    /// Not a valid head.
-    Malformed,
-    /// The length of the body is ambiguous.
-    Ambiguous,
-    /// A head of this length; the body is chunked.
-    Chunked(usize),
-    /// A head of the first length and a body of the second.
-    Sized(usize, u64),
-}
+    /// Examines input in a body of which `left` bytes are missing. Returns how much of it belongs to the body.
+    fn examine_body(&self, unexamined: usize, left: u64) -> usize {
+        let count = (unexamined as u64).min(left);
+        self.unanswered.borrow_mut().add_to_incomplete(count as usize);
+        self.begin_body(left - count);
+        count as usize
+    }
 
-/// Parses the head at the start of `bytes` and determines the length of the body. If a request has both
-/// `Transfer-Encoding` and `Content-Length`, hyper uses the first and removes the second, so the service
-/// could not detect the conflict.
-fn parse_head(bytes: &[u8]) -> ParsedHead {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    let length = match request.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return ParsedHead::Incomplete,
-        Err(_) => return ParsedHead::Malformed,
-    };
-    let all = |name: &'static str| {
-        request
-            .headers
-            .iter()
-            .filter(move |h| h.name.eq_ignore_ascii_case(name))
-            .map(|h| h.value.trim_ascii())
-    };
-    let (mut lengths, mut encodings) = (all("Content-Length"), all("Transfer-Encoding"));
-    match (lengths.next(), encodings.next()) {
-        _ if lengths.next().is_some() || encodings.next().is_some() => ParsedHead::Ambiguous,
-        (Some(_), Some(_)) => ParsedHead::Ambiguous,
-        (None, Some(encoding)) if encoding.eq_ignore_ascii_case(b"chunked") => ParsedHead::Chunked(length),
-        (None, Some(_)) => ParsedHead::Ambiguous,
-        (None, None) => ParsedHead::Sized(length, 0),
-        (Some(body), None) => {
-            let digits = !body.is_empty() && body.iter().all(u8::is_ascii_digit);
-            let body = std::str::from_utf8(body).ok().filter(|_| digits).and_then(|b| b.parse().ok());
-            body.map_or(ParsedHead::Ambiguous, |body| ParsedHead::Sized(length, body))
+    /// Expects a body, of which this many bytes are missing.
+    fn begin_body(&self, left: u64) {
+        if left > 0 {
+            return self.position.set(InputPosition::Body(left));
+        }
+        self.unanswered.borrow_mut().complete_request();
+        self.position.set(InputPosition::Head);
+    }
+
+    /// Examines input in a head. Returns how much of it belongs to the head.
+    fn examine_head(&self, unexamined: usize) -> usize {
+        if self.phase.get() == RequestPhase::Idle {
+            self.set_phase(RequestPhase::Reading);
+        }
+        let mut unanswered = self.unanswered.borrow_mut();
+        let earlier_bytes = unanswered.incomplete_bytes();
+        let head_bytes = earlier_bytes + unexamined;
+        let (length, next) = match unanswered.incomplete_request(head_bytes).map(parse_head) {
+            Some(ParsedHead::Incomplete) if head_bytes < MAX_HEAD_BYTES => {
+                unanswered.add_to_incomplete(unexamined);
+                return unexamined;
+            }
+            Some(ParsedHead::Sized { head_bytes, body_bytes, needs_early_answer }) => {
+                self.is_streamed.set(needs_early_answer);
+                (head_bytes, Some(body_bytes))
+            }
+            Some(ParsedHead::Chunked(length)) => (length, None),
+            Some(ParsedHead::Ambiguous) => {
+                self.is_ambiguous.set(true);
+                (head_bytes, None)
+            }
+            // hyper rejects the request; no input after it is processed.
+            Some(ParsedHead::Incomplete | ParsedHead::Malformed) | None => (head_bytes, None),
+        };
+        let examined = length.saturating_sub(earlier_bytes).min(unexamined);
+        unanswered.add_to_incomplete(examined);
+        drop(unanswered);
+        match next {
+            Some(body_bytes) => self.begin_body(body_bytes),
+            None => {
+                self.position.set(InputPosition::Ignored);
+                self.is_streamed.set(true);
+            }
         }
+        examined
     }
 }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -1,24 +1,22 @@
 //! Client connections: their number, time limits, draining and handover. Requests are handled in intake.rs.
 
 use crate::client_connection::{ClientConnection, CloseMode, RequestPhase, Socket};
+use crate::client_socket::{poll_request, ServerSocket};
 use crate::close;
 use crate::input_budget::InputBudget;
 use crate::intake::{DrainMode, Intake};
 use crate::unanswered_input::MAX_HEAD_BYTES;
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Semaphore};
@@ -39,16 +37,9 @@
 const DRAIN_ALL_AFTER: Duration = Duration::from_millis(3600);
 /// Interval of the check for remaining connections when the process ends.
 const FINISH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Maximum number of bytes per read.
-const READ_BUFFER_BYTES: usize = 4096;
 
-/// A client's socket as hyper reads and writes it, with all input passed to `connection` first.
-struct ObservedSocket {
-    socket: Socket,
-    /// Unanswered input that an earlier process had read, and how much of it was read again.
-    replay: (Vec<u8>, usize),
-    connection: Rc<ClientConnection>,
-}
+/// The server of one request.
+type Server<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
 
 /// A client's connection that is handed over from one process to the next.
 #[derive(Debug)]
@@ -59,47 +50,6 @@
     pub unanswered_input: Vec<u8>,
 }
 
-impl Read for ObservedSocket {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        let mut bytes = [MaybeUninit::uninit(); READ_BUFFER_BYTES];
-        let max_bytes = buf.remaining().min(READ_BUFFER_BYTES);
-        let (replay, position) = &mut self.replay;
-        if *position < replay.len() {
-            let chunk = replay.get(*position..).unwrap_or_default();
-            let chunk = chunk.get(..max_bytes).unwrap_or(chunk).to_vec();
-            *position += chunk.len();
-            if *position == replay.len() {
-                self.replay = (Vec::new(), 0);
-            }
-            self.connection.examine_input(&chunk);
-            buf.put_slice(&chunk);
-            return Poll::Ready(Ok(()));
-        }
-        if !self.connection.may_read(cx.waker()) {
-            return Poll::Pending;
-        }
-        let mut read = ReadBuf::uninit(&mut bytes[..max_bytes]);
-        std::task::ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, &mut read))?;
-        self.connection.examine_input(read.filled());
-        buf.put_slice(read.filled());
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for ObservedSocket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, buf)
-    }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        // hyper flushes when it has nothing left to write.
-        self.connection.on_flushed();
-        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
-    }
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// All client connections.
 pub struct Clients {
     intake: Rc<Intake>,
@@ -343,29 +293,65 @@
         });
     }
 
-    /// Serves a connection until it is closed or handed over.
-    async fn serve_client(&self, stream: TcpStream, unread: Vec<u8>, connection: &Rc<ClientConnection>) {
-        let _only_slower_if_it_fails = stream.set_nodelay(true);
+    /// Receives requests, and serves one after the other. Ready if the connection is finished.
+    fn poll_serve<'a>(
+        &'a self, socket: &Socket, connection: &'a Rc<ClientConnection>, server: &mut Option<Server<'a>>,
+        cx: &mut Context,
+    ) -> Poll<()> {
+        loop {
+            if server.is_none() {
+                if !ready!(poll_request(socket, connection, cx)) {
+                    return Poll::Ready(());
+                }
+                if *self.intake.paused.borrow() || !connection.may_be_served(cx.waker()) {
+                    return Poll::Pending;
+                }
+            }
+            let current = server.get_or_insert_with(|| self.new_server(socket, connection));
+            if current.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            if !connection.is_served() {
+                return Poll::Pending;
+            }
+            *server = None;
+        }
+    }
+
+    /// Creates the server of the current request.
+    fn new_server<'a>(&'a self, socket: &Socket, connection: &'a Rc<ClientConnection>) -> Server<'a> {
+        connection.on_server_created();
         let service = service_fn(|request| self.intake.handle(request, connection));
         let mut server = http1::Builder::new();
         // A client that has ended its sending may wait for its answer; one that is gone resets the connection.
         server.max_buf_size(MAX_HEAD_BYTES).half_close(true);
+        let socket = ServerSocket { socket: socket.clone(), connection: connection.clone() };
+        let finished = server.serve_connection(socket, service);
+        Box::pin(async move {
+            // An error ends the connection, as the end of the client's requests does.
+            let _finished_or_failed = finished.await;
+        })
+    }
+
+    /// Serves a connection until it is closed or handed over.
+    async fn serve_client(&self, stream: TcpStream, unread: Vec<u8>, connection: &Rc<ClientConnection>) {
+        let _only_slower_if_it_fails = stream.set_nodelay(true);
         let socket: Socket = Rc::new(RefCell::new(stream));
         connection.set_socket(&socket);
-        let observed_socket =
-            ObservedSocket { socket: socket.clone(), replay: (unread, 0), connection: connection.clone() };
-        let mut conn = server.serve_connection(observed_socket, service);
-        let (mut idle_close, mut handover_target) =
-            (self.idle_close.subscribe(), self.handover_target.subscribe());
+        connection.receive(&unread);
+        drop(unread);
+        let mut server: Option<Server> = None;
+        let (mut idle_close, mut handover_target, mut paused) =
+            (self.idle_close.subscribe(), self.handover_target.subscribe(), self.intake.paused.subscribe());
         // A request received after idle connections were closed may be a repeat of one that crossed the
         // close, so it is answered rather than closed on.
         let after_idle_close = *idle_close.borrow();
         let mut close_at = None;
         let unread_to_hand_over = loop {
             let handing_over = handover_target.borrow().is_some();
-            // hyper is polled first, so that received input is read before the connection is considered idle.
+            // Requests are served first, so that received input is read before the connection is considered idle.
             let finished = poll_fn(|cx| {
-                if Pin::new(&mut conn).poll(cx).is_ready() {
+                if self.poll_serve(&socket, connection, &mut server, cx).is_ready() {
                     return Poll::Ready(None);
                 }
                 if handing_over {
@@ -374,8 +360,8 @@
                         return Poll::Ready(Some(unread));
                     }
                 }
-                let all_read = connection.awaits_room() || !close::has_unread_input(&socket);
-                match connection.may_close() && all_read {
+                let all_read = || connection.awaits_room() || !close::has_unread_input(&socket, connection);
+                match connection.may_close() && all_read() {
                     true => Poll::Ready(None),
                     false => Poll::Pending,
                 }
@@ -392,6 +378,7 @@
                 }
                 () = until(close_at) => break None,
                 Ok(_) = handover_target.wait_for(Option::is_some), if !handing_over => {}
+                Ok(()) = paused.changed() => {}
                 Ok(_) = idle_close.wait_for(|requested| *requested),
                     if !after_idle_close && connection.close_mode() == CloseMode::KeepOpen =>
                 {
@@ -399,10 +386,8 @@
                 }
             }
         };
+        drop(server);
         if let Some(unread) = unread_to_hand_over {
-            drop(socket);
-            let ObservedSocket { socket, replay: (earlier, read_again), .. } = conn.into_parts().io;
-            let unread = [&unread[..], earlier.get(read_again..).unwrap_or_default()].concat();
             let stream = Rc::into_inner(socket).map(|socket| socket.into_inner().into_std());
             if let (Some(Ok(stream)), Some(to)) = (stream, &*self.handover_target.borrow()) {
                 let _process_ended = to.send(HandedOverConnection { stream, unanswered_input: unread });
@@ -421,7 +406,6 @@
             }
             _ => None,
         };
-        drop(conn);
         if let Some(answer) = answer {
             // As nothing else is being written, this succeeds at once or not at all.
             let _client_gone = socket.borrow().try_write(answer);
--- a/crates/http/src/input_budget.rs
+++ b/crates/http/src/input_budget.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeMap;
 use std::task::Waker;
 
-/// A connection that holds less than this may read on in any case. A usual message has less.
+/// A connection may hold this much in any case. A usual message has less.
 pub const SMALL_INPUT_BYTES: usize = 4096;
+/// Maximum number of bytes per read.
+pub const MAX_READ_BYTES: usize = 4096;
 
 /// How much input all connections hold, and which of them wait for room.
 pub struct InputBudget {
@@ -22,14 +24,24 @@
         InputBudget { max_bytes, held_bytes: Cell::default(), waiting: RefCell::default() }
     }
 
-    /// Returns whether a connection that holds this much may read on. If not, `waker` is called when there may
-    /// be room again.
-    pub fn may_read(&self, connection: u64, held_bytes: usize, waker: &Waker) -> bool {
-        if held_bytes < SMALL_INPUT_BYTES || self.held_bytes.get() < self.max_bytes {
-            return true;
+    /// Returns whether there is room. If not, `waker` is called when there may be some again.
+    pub fn has_room(&self, connection: u64, waker: &Waker) -> bool {
+        let has_room = self.held_bytes.get() < self.max_bytes;
+        if !has_room {
+            self.waiting.borrow_mut().insert(connection, waker.clone());
+        }
+        has_room
+    }
+
+    /// Returns how many bytes a connection that holds this much may read. If none, `waker` is called when there
+    /// may be room again.
+    pub fn readable_bytes(&self, connection: u64, held_bytes: usize, waker: &Waker) -> usize {
+        match SMALL_INPUT_BYTES.saturating_sub(held_bytes) {
+            0 if !self.has_room(connection, waker) => 0,
+            0 => MAX_READ_BYTES,
+            readable_bytes if self.held_bytes.get() >= self.max_bytes => readable_bytes,
+            _ => MAX_READ_BYTES,
         }
-        self.waiting.borrow_mut().insert(connection, waker.clone());
-        false
     }
 
     /// Records that a connection holds `after` bytes, and held `before`.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod audit;
 mod carrier;
 mod client_connection;
+mod client_socket;
 mod clients;
 mod close;
 mod conn;
@@ -16,6 +17,7 @@
 mod intake;
 mod notices;
 mod outcomes;
+mod request_head;
 mod schedule;
 mod unanswered_input;
 
--- a/crates/http/src/unanswered_input.rs
+++ b/crates/http/src/unanswered_input.rs
@@ -15,18 +15,22 @@
 const MAX_UNANSWERED_BYTES: usize = 2 * MAX_HEAD_BYTES + MAX_BODY_BYTES + 16 * 1024;
 /// Input grows in steps of this size, so that little more is allocated than is held.
 const GROWTH_BYTES: usize = 8 * 1024;
+/// The same for a small request.
+const SMALL_GROWTH_BYTES: usize = 1024;
 
 /// The unanswered input of a connection: another process can read it again, and the body of a message is taken
 /// from it.
 pub struct UnansweredInput {
     bytes: Vec<u8>,
+    /// Number of bytes of the current request that its server has read.
+    delivered_bytes: usize,
     /// Lengths of the complete requests in `bytes`.
     complete_lengths: VecDeque<usize>,
-    /// Number of bytes received of the incomplete request.
+    /// Number of bytes examined of the incomplete request.
     incomplete_bytes: usize,
     /// The input was too large to keep.
     too_large: bool,
-    /// Number of bytes of the current request that are held elsewhere.
+    /// Number of bytes that are held elsewhere for the current request.
     elsewhere_bytes: usize,
     /// Number of bytes that the budget counts.
     counted_bytes: usize,
@@ -38,6 +42,7 @@
     pub fn new(budget: Rc<InputBudget>) -> UnansweredInput {
         UnansweredInput {
             bytes: Vec::new(),
+            delivered_bytes: 0,
             complete_lengths: VecDeque::new(),
             incomplete_bytes: 0,
             too_large: false,
@@ -52,21 +57,45 @@
         let length = self.bytes.len() + bytes.len();
         if self.too_large || length > MAX_UNANSWERED_BYTES {
             self.too_large = true;
-            (self.bytes, self.complete_lengths, self.incomplete_bytes) = Default::default();
-        } else {
-            if length > self.bytes.capacity() && length > SMALL_INPUT_BYTES {
-                self.bytes.reserve_exact(length.next_multiple_of(GROWTH_BYTES) - self.bytes.len());
-            }
-            self.bytes.extend_from_slice(bytes);
+            self.clear();
+            return;
         }
+        if length > self.bytes.capacity() {
+            let step = if length > SMALL_INPUT_BYTES { GROWTH_BYTES } else { SMALL_GROWTH_BYTES };
+            self.bytes.reserve_exact(length.next_multiple_of(step) - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(bytes);
         self.update_budget();
     }
 
+    /// Drops all input.
+    pub fn clear(&mut self) {
+        (self.bytes, self.complete_lengths) = Default::default();
+        (self.delivered_bytes, self.incomplete_bytes) = (0, 0);
+        self.update_budget();
+    }
+
+    /// Returns whether there is no input.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Adds bytes to the length of the incomplete request.
     pub fn add_to_incomplete(&mut self, count: usize) {
         self.incomplete_bytes += count;
     }
 
+    /// Returns the number of bytes examined of the incomplete request.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.incomplete_bytes
+    }
+
+    /// Returns the first bytes of the incomplete request; `None` if they are not kept.
+    pub fn incomplete_request(&self, length: usize) -> Option<&[u8]> {
+        let start: usize = self.complete_lengths.iter().sum();
+        self.bytes.get(start..)?.get(..length)
+    }
+
     /// Records that the incomplete request is complete.
     pub fn complete_request(&mut self) {
         self.complete_lengths.push_back(std::mem::take(&mut self.incomplete_bytes));
@@ -77,14 +106,23 @@
         !self.complete_lengths.is_empty()
     }
 
+    /// Returns bytes of the first request that were not returned before, `max_bytes` at most, as read by its
+    /// server; of a request that is not complete, all that was received.
+    pub fn deliver(&mut self, max_bytes: usize) -> &[u8] {
+        let first = self.complete_lengths.front().copied();
+        let available = first.unwrap_or(self.bytes.len()).min(self.bytes.len());
+        let start = self.delivered_bytes.min(available);
+        let end = available.min(start.saturating_add(max_bytes));
+        self.delivered_bytes = end;
+        &self.bytes[start..end]
+    }
+
     /// Discards the first complete request, as it is answered. Returns whether there was one.
     pub fn discard_first(&mut self) -> bool {
         let first = self.complete_lengths.pop_front();
-        self.bytes.drain(..first.unwrap_or(0).min(self.bytes.len()));
-        if self.bytes.is_empty() {
-            self.bytes = Vec::new();
-        }
-        self.elsewhere_bytes = 0;
+        // A copy: the next request may be much smaller.
+        self.bytes = self.bytes.get(first.unwrap_or(0)..).unwrap_or_default().to_vec();
+        (self.delivered_bytes, self.elsewhere_bytes) = (0, 0);
         self.update_budget();
         first.is_some()
     }
@@ -101,26 +139,35 @@
         (!self.too_large).then(|| self.bytes.clone())
     }
 
-    /// Records that this many more bytes of the current request are held elsewhere.
+    /// Records that this many more bytes are held elsewhere for the current request.
     pub fn hold_elsewhere(&mut self, count: usize) {
         self.elsewhere_bytes += count;
         self.update_budget();
     }
 
-    /// Returns whether more may be read, see [`InputBudget::may_read`].
-    pub fn may_read(&self, connection: u64, waker: &Waker) -> bool {
-        self.budget.may_read(connection, self.counted_bytes, waker)
+    /// Returns how many bytes may be read, see [`InputBudget::readable_bytes`].
+    pub fn readable_bytes(&self, connection: u64, waker: &Waker) -> usize {
+        self.budget.readable_bytes(connection, self.held_bytes(), waker)
+    }
+
+    /// Returns whether there is room, see [`InputBudget::has_room`].
+    pub fn has_room(&self, connection: u64, waker: &Waker) -> bool {
+        self.budget.has_room(connection, waker)
     }
 
     /// Returns whether so much is held that a connection may have to wait for room.
     pub fn is_large(&self) -> bool {
-        self.counted_bytes >= SMALL_INPUT_BYTES
+        self.held_bytes() >= SMALL_INPUT_BYTES
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.bytes.len() + self.elsewhere_bytes
     }
 
     fn update_budget(&mut self) {
-        let held = self.bytes.len() + self.elsewhere_bytes;
-        self.budget.update(self.counted_bytes, held);
-        self.counted_bytes = held;
+        let allocated = self.bytes.capacity() + self.elsewhere_bytes;
+        self.budget.update(self.counted_bytes, allocated);
+        self.counted_bytes = allocated;
     }
 }
 
