--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,8 +1,9 @@
 //! The configuration of the relay: reads and checks the environment and config.json.
 
+use crate::bounds::Bounds;
 use linenhall::Settings;
 use mulleinslip_engine::Names;
-use mulleinslip_http::{List, ListNames, PollCost, MAX_LIST_BYTES};
+use mulleinslip_http::{List, ListNames, PollCost};
 use mulleinslip_settings::{FileSettings, ParsedSettings};
 use serde::Deserialize;
 use serde_json::Value;
@@ -10,22 +11,6 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Active destinations may take this fraction (one sixteenth) of `limits.memory_mb`.
-const ACTIVE_MEMORY_DIVISOR: usize = 16;
-/// Memory that an active destination takes under traffic, see docs/CAPACITY.md.
-const ACTIVE_DESTINATION_BYTES: usize = 4000;
-/// Minimum number of active destinations for which there is room.
-const MIN_ACTIVE_DESTINATIONS: usize = 1024;
-/// A list as received may take this fraction (one eighth) of `limits.memory_mb`: while it is parsed it takes
-/// four times as much, which is half of the memory, see docs/CAPACITY.md.
-const LIST_MEMORY_DIVISOR: usize = 8;
-
-/// Unanswered input of all clients may take this fraction (one sixteenth) of `limits.memory_mb`. Each connection may
-/// hold 8 KiB beyond it.
-const INPUT_MEMORY_DIVISOR: usize = 16;
-/// Minimum of that: room for some large requests at a time.
-const MIN_INPUT_BYTES: usize = 1 << 20;
-
 /// The configuration, checked.
 pub struct Config {
     /// Path of the configuration file, which is read again at SIGHUP.
@@ -37,15 +22,10 @@
     pub control: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
-    pub sockets: usize,
     pub disk_bytes: u64,
     pub known: List,
-    /// Maximum length of a list from discovery.
-    pub max_list_bytes: usize,
-    /// Maximum number of bytes of unanswered requests, see [`INPUT_MEMORY_DIVISOR`].
-    pub max_input_bytes: usize,
-    /// Maximum number of destinations that the decision module and the carrier know at once.
-    pub max_active_destinations: usize,
+    /// What follows from the limits.
+    pub bounds: Bounds,
     /// Cost of a call for the list.
     pub poll_cost: PollCost,
     pub settings: Settings,
@@ -75,7 +55,8 @@
 struct FileLimits {
     sockets: usize,
     disk_mb: f64,
-    /// Sets the maximum length of a list and number of active destinations. If absent, their minimums apply.
+    /// Bounds the connections, their input, lists and active destinations. If absent, the descriptors alone bound
+    /// the connections, and the minimums of the others apply.
     #[serde(default)]
     memory_mb: f64,
 }
@@ -159,7 +140,8 @@
 pub fn read() -> Result<Config, String> {
     let path: PathBuf = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into();
     let (file, parsed) = load(&path)?;
-    let memory_bytes = (file.limits.memory_mb.clamp(0.0, 1e6) * 1e6) as usize;
+    let told_memory_mb = Some(file.limits.memory_mb).filter(|mb| *mb > 0.0);
+    let memory_bytes = told_memory_mb.map(|mb| (mb.min(1e6) * 1e6) as usize);
     let state = std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?;
     Ok(Config {
         file: path,
@@ -169,12 +151,8 @@
         control: optional_address("control", "ROUTER_CONTROL", file.control.as_ref())?,
         state: state.into(),
         seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..)),
-        sockets: file.limits.sockets,
-        max_input_bytes: (memory_bytes / INPUT_MEMORY_DIVISOR).max(MIN_INPUT_BYTES),
+        bounds: Bounds::new(file.limits.sockets, memory_bytes),
         disk_bytes: (file.limits.disk_mb * 1e6) as u64,
-        max_list_bytes: (memory_bytes / LIST_MEMORY_DIVISOR).max(MAX_LIST_BYTES),
-        max_active_destinations: (memory_bytes / ACTIVE_MEMORY_DIVISOR / ACTIVE_DESTINATION_BYTES)
-            .max(MIN_ACTIVE_DESTINATIONS),
         poll_cost: PollCost::of(parsed.settings.relays, parsed.discovery_is_polled),
         settings: parsed.settings,
         names: Names { classes: parsed.classes, tenants: parsed.tenants },
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! can run it.
 
 mod account;
+mod bounds;
 mod cli;
 mod config;
 mod membership_updates;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -40,15 +40,6 @@
 /// Time from SIGTERM until incomplete requests are refused even if answers are pending: 300 ms before the
 /// end of [`SHUTDOWN_TIMES`].
 const FORCED_CLOSE_DELAY: Duration = Duration::from_millis(3300);
-/// Number of descriptors besides connections of clients and to hosts: standard streams 3, event loop and
-/// signals 5, listener and one client above the limit 2, journal 2, discovery 4, notices 2, the configuration
-/// 1, the second address with its callers and one above their limit 10, the takeover socket and its copy of
-/// the listener 3; the rest is a reserve for the runtime.
-const OTHER_DESCRIPTORS: usize = 36;
-/// Number of descriptors that a process that takes over has before its first connection; both processes
-/// together stay within the limit: standard streams 3, event loop and signals 5, listener 1, second address
-/// 1, journal 2, discovery 2, notices 1, the channel 1; the rest is for callers of the second address.
-const NEXT_PROCESS_DESCRIPTORS: usize = 20;
 
 /// Reads the configuration and serves until SIGTERM or a takeover. The error is one line.
 pub fn run(account: bool, audit: bool) -> Result<(), String> {
@@ -85,11 +76,10 @@
         log(&format!("{} control on {bound_address}", config.name));
         spawn_local(mulleinslip_control::serve(control, process_control.clone()));
     }
-    let max_connections =
-        config.sockets.saturating_sub(OTHER_DESCRIPTORS + NEXT_PROCESS_DESCRIPTORS).max(2) / 2;
-    let view = Rc::new(RefCell::new(View::new(Vec::new(), config.max_active_destinations)));
+    let bounds = config.bounds;
+    let view = Rc::new(RefCell::new(View::new(Vec::new(), bounds.max_active_destinations)));
     let carrier_settings = CarrierSettings {
-        max_open: max_connections,
+        max_open: bounds.max_host_connections,
         connect_timeout: config.connect_timeout,
         conn_idle_ms: config.settings.conn_idle_ms,
         names: config.list_names,
@@ -104,7 +94,7 @@
     // first. It does so before it opens the folder, because a process that is taken over from pauses until
     // the takeover is complete.
     let mut agent =
-        Discovery::new(config.discovery, config.poll_cost).with_max_list_bytes(config.max_list_bytes);
+        Discovery::new(config.discovery, config.poll_cost).with_max_list_bytes(bounds.max_list_bytes);
     // A full list and then a watch are two calls. Where calls are costly the first one is a watch already, as
     // that returns what was missed since the list that the process starts from. Its answer may be older than
     // that list, which may come from another agent with a version count of its own.
@@ -167,7 +157,7 @@
     if polls_sparingly {
         start_version.set(starting_list.version);
     }
-    *view.borrow_mut() = View::new(starting_list.tombstones, config.max_active_destinations);
+    *view.borrow_mut() = View::new(starting_list.tombstones, bounds.max_active_destinations);
     let membership_updates =
         MembershipUpdates::new(view.clone(), runtime.engine(), carrier.clone(), handle.clone(), clock);
     let lists = membership_updates.initial_lists(starting_list.list, config.discovery, agent_lists);
@@ -177,7 +167,7 @@
     spawn_local(run_notices(agent_address.clone(), notice_receiver, handle.clone()));
     let (mut watched_address, mut index) = (agent_address.clone(), index.or(start_version.get()));
     let (first_agent, poll_cost, max_list_bytes) =
-        (config.discovery, config.poll_cost, config.max_list_bytes);
+        (config.discovery, config.poll_cost, bounds.max_list_bytes);
     spawn_local(async move {
         let agent = match agent {
             Some(agent) => agent,
@@ -234,7 +224,7 @@
     });
     let listener_copy =
         listener.as_fd().try_clone_to_owned().map_err(|e| format!("cannot duplicate the listener: {e}"))?;
-    let clients = Clients::new(intake.clone(), max_connections, config.max_input_bytes);
+    let clients = Clients::new(intake.clone(), bounds.max_clients, bounds.max_input_bytes);
     spawn_local(clients.clone().enforce_time_limits());
     spawn_local(clients.clone().serve(listener));
     if let Some(TakenOver { channel, .. }) = taken_over {
