--- a/crates/daemon/src/bounds.rs
+++ b/crates/daemon/src/bounds.rs
@@ -23,6 +23,8 @@
 const CLIENT_CONNECTION_BYTES: usize = 8 * 1024;
 /// Memory of a connection to a host with a call: hyper's buffers with the head of a response, and the task.
 const HOST_CONNECTION_BYTES: usize = 32 * 1024;
+/// Open messages may take this fraction (one eighth) of the memory.
+const MESSAGE_MEMORY_DIVISOR: u64 = 8;
 /// Minimum number of connections of either kind for which there is memory.
 const MIN_CONNECTIONS: usize = 16;
 /// Number of descriptors besides connections of clients and to hosts: standard streams 3, event loop and
@@ -44,6 +46,8 @@
     pub max_host_connections: usize,
     /// Maximum number of bytes of unanswered requests.
     pub max_input_bytes: usize,
+    /// Maximum memory of all open messages, if the configuration tells the memory.
+    pub max_message_memory: Option<u64>,
     /// Maximum length of a list from discovery.
     pub max_list_bytes: usize,
     /// Maximum number of destinations that the decision module and the carrier know at once.
@@ -59,11 +63,13 @@
             let in_memory = memory_bytes.map(|memory| memory / CONNECTION_MEMORY_DIVISOR / bytes);
             in_memory.map_or(connections, |in_memory| connections.min(in_memory.max(MIN_CONNECTIONS)))
         };
+        let max_message_memory = memory_bytes.map(|memory| memory as u64 / MESSAGE_MEMORY_DIVISOR);
         let memory_bytes = memory_bytes.unwrap_or_default();
         Bounds {
             max_clients: connections_of(CLIENT_CONNECTION_BYTES),
             max_host_connections: connections_of(HOST_CONNECTION_BYTES),
             max_input_bytes: (memory_bytes / INPUT_MEMORY_DIVISOR).max(MIN_INPUT_BYTES),
+            max_message_memory,
             max_list_bytes: (memory_bytes / LIST_MEMORY_DIVISOR).max(MAX_LIST_BYTES),
             max_active_destinations: (memory_bytes / ACTIVE_MEMORY_DIVISOR / ACTIVE_DESTINATION_BYTES)
                 .max(MIN_ACTIVE_DESTINATIONS),
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -121,8 +121,9 @@
     });
 
     let opened = takeover::open(&config.state, config.disk_bytes).await;
-    let (journal, mut recovered, taken_over) =
+    let (mut journal, mut recovered, taken_over) =
         opened.map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    bounds.max_message_memory.into_iter().for_each(|bytes| journal.set_max_message_memory(bytes));
     for recovered_message in &recovered.messages {
         audit::log_step(&recovered_message.message.call_id, || Step::Restored {
             due: recovered_message.message.due,
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -31,6 +31,8 @@
 const ENDED_DIVISOR: u64 = 16;
 /// Pauses of keys may take this fraction of the space that is reserved for the records of accepted messages.
 const KEY_PAUSES_DIVISOR: u64 = 2;
+/// Memory of an open message besides its record and its body: indexes here, in the engine and in the decisions.
+const OPEN_MESSAGE_BYTES: u64 = 1024;
 /// Minimum size of a stored host, in bytes.
 const MIN_HOST_BYTES: u64 = 40;
 
@@ -74,6 +76,8 @@
     key_pauses: KeyPauses,
     ended: EndedTable,
     max_bytes: u64,
+    /// Maximum memory of all open messages.
+    max_message_memory: u64,
     /// Space that is reserved for the records of messages that are already accepted.
     reserve_bytes: u64,
 }
@@ -145,6 +149,7 @@
             key_pauses: KeyPauses::default(),
             ended: EndedTable::default(),
             max_bytes,
+            max_message_memory: u64::MAX,
             reserve_bytes,
         };
         journal.replay(records, &mut recovered)?;
@@ -164,6 +169,12 @@
         Ok((journal, recovered))
     }
 
+    /// Sets how much memory all open messages may take: their records, which are kept here, their bodies, which
+    /// the engine keeps as well, and what else each one needs. A message beyond it is not accepted.
+    pub fn set_max_message_memory(&mut self, bytes: u64) {
+        self.max_message_memory = bytes;
+    }
+
     /// Releases the folder to another process. From then on nothing is written, and each call that records
     /// something fails.
     ///
@@ -242,7 +253,9 @@
 
     fn add_live(&mut self, id: u64, bytes: &[u8]) {
         self.live_bytes += bytes.len() as u64;
-        self.live.entry(id).or_default().extend_from_slice(bytes);
+        let frames = self.live.entry(id).or_default();
+        frames.reserve_exact(bytes.len());
+        frames.extend_from_slice(bytes);
     }
 
     fn remove_live(&mut self, id: u64) {
@@ -303,7 +316,13 @@
 
     /// Appends a record of a message or of the outages.
     fn append(&mut self, id: u64, record: &Record, spare_bytes: u64) -> io::Result<()> {
-        let bytes = frame(record)?;
+        self.append_framed(id, record, frame(record)?, spare_bytes)
+    }
+
+    /// Appends a record in its frame.
+    fn append_framed(
+        &mut self, id: u64, record: &Record, bytes: Vec<u8>, spare_bytes: u64,
+    ) -> io::Result<()> {
         self.write(&bytes, spare_bytes)?;
         if matches!(record, Record::Ended(_) | Record::Outages(_)) {
             self.remove_live(id);
@@ -315,8 +334,19 @@
     }
 
     /// Records that a message is accepted. On an error it is not accepted and must be refused.
+    ///
+    /// # Errors
+    /// Any error of writing; `StorageFull` if there is no space in the folder, `QuotaExceeded` if the open messages
+    /// would take too much memory.
     pub fn record_accepted(&mut self, id: u64, message: AcceptedMessage) -> io::Result<()> {
-        self.append(id, &Record::Accepted(id, message), self.reserve_bytes)
+        let record = Record::Accepted(id, message);
+        let bytes = frame(&record)?;
+        let messages = self.live.len() as u64 + 1;
+        let memory = 2 * (self.live_bytes + bytes.len() as u64) + messages * OPEN_MESSAGE_BYTES;
+        if memory > self.max_message_memory {
+            return Err(io::Error::from(io::ErrorKind::QuotaExceeded));
+        }
+        self.append_framed(id, &record, bytes, self.reserve_bytes)
     }
 
     /// Records that an attempt is about to be sent. On an error it must not be sent.
