--- a/crates/testkit/src/crowd.rs
+++ b/crates/testkit/src/crowd.rs
@@ -1,5 +1,6 @@
 //! Crowds of clients that write slowly, stop in the middle of a request, or send heads of very many fields.
 
+use crate::partner::Random;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -80,6 +81,33 @@
     ]
 }
 
+/// Returns a request of random form, of which a random part is sent in random pieces: with fields, a body of any
+/// length or in chunks, behind complete requests, or of random bytes.
+pub fn random_request(random: &mut Random) -> SlowRequest {
+    let fields = random.below(MANY_FIELDS as u64 + 1) as usize;
+    let body_bytes = [0, 100, 3000, 20_000, MAX_BODY_BYTES, 60_000_000][random.below(6) as usize];
+    let sent_bytes = random.below(body_bytes.min(MAX_BODY_BYTES) as u64 + 1) as usize;
+    let long_head = head(head(0, body_bytes).len() + fields * SHORT_FIELD.len() + 2, body_bytes);
+    let expectation: &[u8] = if random.percent(10) { b"Expect: 100-continue\r\n" } else { b"" };
+    let sized = [&long_head[..], expectation, b"\r\n", &vec![b'b'; sent_bytes]].concat();
+    let (name, bytes) = match random.below(10) {
+        0 => ("chunks", chunked()),
+        1 => ("a part of a head", long_head),
+        2 => ("random bytes", (0..random.below(40_000)).map(|_| random.below(256) as u8).collect()),
+        3 => ("nothing", Vec::new()),
+        4 | 5 => {
+            let complete = [head(0, 300), b"\r\n".to_vec(), vec![b'b'; 300]].concat();
+            (
+                "complete requests, and a part",
+                [complete.repeat(random.below(30) as usize + 1), sized].concat(),
+            )
+        }
+        _ => ("a request with a part of its body", sized),
+    };
+    let piece_bytes = [1, 50, 500, 4096, usize::MAX][random.below(5) as usize];
+    SlowRequest { name, bytes, piece_bytes }
+}
+
 /// One client of a crowd.
 struct Writer<'a> {
     request: &'a SlowRequest,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,7 +12,7 @@
 mod wire;
 
 pub use agent::Agent;
-pub use crowd::{play_crowd, slow_requests, SlowRequest, MAX_BODY_BYTES};
+pub use crowd::{play_crowd, random_request, slow_requests, SlowRequest, MAX_BODY_BYTES};
 pub use framing::Framing;
 pub use host::{response, Host, Reply};
 pub use memory::{MemorySample, MemoryWatch};
--- a/crates/testkit/src/memory.rs
+++ b/crates/testkit/src/memory.rs
@@ -1,4 +1,4 @@
-//! Watches the memory that the processes of one relay take together, as the platform counts it: the folder's
+//! Watches the memory and the descriptors that the processes of one relay take together, as the platform counts it: the folder's
 //! files count as memory, and so do two processes while one takes over from the other.
 
 use std::path::{Path, PathBuf};
@@ -33,6 +33,8 @@
     processes: Vec<u32>,
     state_folder: PathBuf,
     peak: MemorySample,
+    /// The largest number of descriptors of all processes together.
+    peak_descriptors: usize,
 }
 
 /// Watches the memory of a relay's processes until it is dropped.
@@ -66,6 +68,11 @@
     pub fn peak(&self) -> MemorySample {
         self.watched.lock().unwrap().peak.clone()
     }
+
+    /// Returns the largest number of descriptors that the processes had open together so far.
+    pub fn peak_descriptors(&self) -> usize {
+        self.watched.lock().unwrap().peak_descriptors
+    }
 }
 
 impl Drop for MemoryWatch {
@@ -78,6 +85,8 @@
 fn take_sample(watched: &mut Watched, at: Duration) {
     let resident = watched.processes.iter().filter_map(|id| Some((*id, resident_bytes(*id)?))).collect();
     let sample = MemorySample { at, resident, files: files_bytes(&watched.state_folder) };
+    let descriptors = watched.processes.iter().map(|id| open_descriptors(*id)).sum();
+    watched.peak_descriptors = watched.peak_descriptors.max(descriptors);
     if sample.total() > watched.peak.total() {
         watched.peak = sample;
     }
@@ -90,6 +99,11 @@
     Some(line.trim().trim_end_matches(" kB").parse::<u64>().ok()? * 1024)
 }
 
+/// Returns the number of descriptors that a process has open; 0 if it has ended.
+fn open_descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
+
 /// Returns the size of the files in a folder. Files that are replaced meanwhile may be missed.
 fn files_bytes(folder: &Path) -> u64 {
     let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
