--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,5 +8,5 @@
 mod serve;
 
 pub use call::{answer, RelayControl, MAX_LINE_BYTES};
-pub use metrics::{Metrics, OutcomeCounts};
+pub use metrics::{ClientMetrics, Metrics, OutcomeCounts};
 pub use serve::{serve, MAX_CALLERS};
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -16,6 +16,22 @@
     pub failed: u64,
 }
 
+/// Counts of clients' connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientMetrics {
+    /// Number of open connections.
+    pub connections: usize,
+    /// Number of bytes that requests without an answer take.
+    pub input_bytes: usize,
+    /// Connections that were dropped unread, as there was no place for them, since the process started.
+    pub no_place: u64,
+    /// Requests that did not come in time, since the process started.
+    pub timed_out: u64,
+    /// Incomplete requests that were refused, as their connection or memory was needed, since the process
+    /// started.
+    pub refused_incomplete: u64,
+}
+
 /// The metrics of one process.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Metrics {
@@ -33,6 +49,10 @@
     pub known_hosts: usize,
     /// Number of those hosts to which currently nothing would be sent.
     pub skipped_hosts: usize,
+    /// The clients' connections.
+    pub clients: ClientMetrics,
+    /// Resident memory of the process, in bytes; 0 if the system doesn't tell.
+    pub resident_bytes: u64,
 }
 
 /// Formats the value of a label in quotes, with escapes.
@@ -68,7 +88,18 @@
         writeln!(f, "{PREFIX}_upstream_unrequested_responses_total {}", self.unrequested_responses)?;
         writeln!(f, "{PREFIX}_in_progress {}", self.in_progress)?;
         writeln!(f, "{PREFIX}_known_hosts {}", self.known_hosts)?;
-        writeln!(f, "{PREFIX}_skipped_hosts {}", self.skipped_hosts)
+        writeln!(f, "{PREFIX}_skipped_hosts {}", self.skipped_hosts)?;
+        writeln!(f, "{PREFIX}_client_connections {}", self.clients.connections)?;
+        writeln!(f, "{PREFIX}_client_input_bytes {}", self.clients.input_bytes)?;
+        let closed = [
+            ("no_place", self.clients.no_place),
+            ("timed_out", self.clients.timed_out),
+            ("refused_incomplete", self.clients.refused_incomplete),
+        ];
+        for (reason, count) in closed {
+            writeln!(f, "{PREFIX}_client_closed_total{{reason=\"{reason}\"}} {count}")?;
+        }
+        writeln!(f, "{PREFIX}_resident_bytes {}", self.resident_bytes)
     }
 }
 
@@ -88,6 +119,14 @@
             in_progress: 4,
             known_hosts: 5,
             skipped_hosts: 6,
+            clients: ClientMetrics {
+                connections: 10,
+                input_bytes: 11,
+                no_place: 12,
+                timed_out: 13,
+                refused_incomplete: 14,
+            },
+            resident_bytes: 15,
         };
         let expected = "\
 edge_router_handled_total{category=\"o\\\"r\\\\d\\n\",outcome=\"passed\"} 1
@@ -99,6 +138,12 @@
 edge_router_in_progress 4
 edge_router_known_hosts 5
 edge_router_skipped_hosts 6
+edge_router_client_connections 10
+edge_router_client_input_bytes 11
+edge_router_client_closed_total{reason=\"no_place\"} 12
+edge_router_client_closed_total{reason=\"timed_out\"} 13
+edge_router_client_closed_total{reason=\"refused_incomplete\"} 14
+edge_router_resident_bytes 15
 ";
         assert_eq!(metrics.to_string(), expected);
     }
--- a/crates/daemon/src/bounds.rs
+++ b/crates/daemon/src/bounds.rs
@@ -77,5 +77,20 @@
     }
 }
 
+impl std::fmt::Display for Bounds {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Bounds { max_clients, max_host_connections, max_input_bytes, max_list_bytes, .. } = self;
+        write!(
+            f,
+            "{max_clients} clients' connections, {max_host_connections} to hosts, {max_input_bytes} bytes of \
+             unanswered requests, lists of {max_list_bytes} bytes, "
+        )?;
+        match self.max_message_memory {
+            Some(bytes) => write!(f, "{bytes} bytes of open messages"),
+            None => f.write_str("open messages as MaxOpen and disk_mb allow"),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/src/process_control.rs
+++ b/crates/daemon/src/process_control.rs
@@ -1,8 +1,8 @@
 //! The state of the process as the second address shows and controls it.
 
-use mulleinslip_control::{Metrics, OutcomeCounts, RelayControl};
+use mulleinslip_control::{ClientMetrics, Metrics, OutcomeCounts, RelayControl};
 use mulleinslip_engine::{Engine, Names};
-use mulleinslip_http::{Clients, HttpCarrier, Intake};
+use mulleinslip_http::{ClientCounts, Clients, HttpCarrier, Intake};
 use mulleinslip_journal::Journal;
 use mulleinslip_runtime::Clock;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -76,6 +76,8 @@
             in_progress: if self.handed_over.get() { 0 } else { engine.queued_and_unconfirmed().0 },
             known_hosts,
             skipped_hosts,
+            clients: client_metrics(parts.clients.counts()),
+            resident_bytes: resident_bytes().unwrap_or_default(),
         }
     }
 
@@ -88,3 +90,15 @@
         Ok(())
     }
 }
+
+fn client_metrics(counts: ClientCounts) -> ClientMetrics {
+    let ClientCounts { connections, input_bytes, no_place, timed_out, refused_incomplete } = counts;
+    ClientMetrics { connections, input_bytes, no_place, timed_out, refused_incomplete }
+}
+
+/// Returns the resident memory of this process, in bytes, if the system tells.
+fn resident_bytes() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    Some(line.trim().trim_end_matches(" kB").parse::<u64>().ok()? * 1024)
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -77,6 +77,7 @@
         spawn_local(mulleinslip_control::serve(control, process_control.clone()));
     }
     let bounds = config.bounds;
+    log(&format!("at most {bounds}"));
     let view = Rc::new(RefCell::new(View::new(Vec::new(), bounds.max_active_destinations)));
     let carrier_settings = CarrierSettings {
         max_open: bounds.max_host_connections,
--- a/crates/daemon/tests/memory_limit.rs
+++ b/crates/daemon/tests/memory_limit.rs
@@ -86,6 +86,10 @@
             stop.store(true, Ordering::SeqCst);
         });
         assert_within_limit(name, &watch);
+        if name == "bodies one byte short" {
+            assert!(relay.logged("no room for large requests: "));
+            assert!(relay.figure("edge_router_client_closed_total{reason=\"refused_incomplete\"}") > 0);
+        }
     };
     let requests = slow_requests();
     play("all kinds", &requests);
--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -21,7 +21,7 @@
 /// which each client must have an answer or see the connection closed.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a large request while there is no room for the input of others.
-const LARGE_REQUEST_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
+pub const LARGE_REQUEST_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(200);
 
 /// Memory of the server of a streamed request: hyper's two buffers, and the request's headers.
 const STREAMING_SERVER_BYTES: usize = 32 * 1024;
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -1,6 +1,9 @@
 //! Client connections: their number, time limits, draining and handover. Requests are handled in intake.rs.
 
-use crate::client_connection::{ClientConnection, CloseMode, RequestPhase, Socket};
+use crate::client_connection::{
+    ClientConnection, CloseMode, RequestPhase, Socket, LARGE_REQUEST_TIMEOUT_WHEN_FULL,
+};
+use crate::client_counts::ClientCounts;
 use crate::client_socket::{poll_request, ServerSocket};
 use crate::close;
 use crate::input_budget::InputBudget;
@@ -35,6 +38,8 @@
 /// Time until connections with an incomplete request are closed: no client may be connected 4 s after the
 /// call.
 const DRAIN_ALL_AFTER: Duration = Duration::from_millis(3600);
+/// Shortest time between two log lines about input that finds no room.
+const NO_ROOM_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval of the check for remaining connections when the process ends.
 const FINISH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -71,6 +76,10 @@
     drain_changes: Cell<u64>,
     /// Number of the next connection.
     next_number: Cell<u64>,
+    /// Why connections were closed; the open ones are not counted here.
+    counts: Cell<ClientCounts>,
+    /// When it was last logged that there is no room for large requests.
+    no_room_logged_at: Cell<Option<Instant>>,
     /// Where connections are sent once another process takes over.
     handover_target: watch::Sender<Option<UnboundedSender<HandedOverConnection>>>,
 }
@@ -95,10 +104,38 @@
             idle_close,
             drain_changes,
             next_number,
+            counts: Cell::default(),
+            no_room_logged_at: Cell::default(),
             handover_target,
         })
     }
 
+    /// Returns what the connections hold, and why others were closed.
+    pub fn counts(&self) -> ClientCounts {
+        let (connections, input_bytes) = (self.count(), self.input_budget.held_bytes());
+        ClientCounts { connections, input_bytes, ..self.counts.get() }
+    }
+
+    fn add_to_counts(&self, add: impl FnOnce(&mut ClientCounts)) {
+        let mut counts = self.counts.get();
+        add(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Logs that there is no room for large requests, at most once per interval.
+    fn log_no_room(&self, now: Instant) {
+        if self.no_room_logged_at.get().is_some_and(|at| now - at < NO_ROOM_LOG_INTERVAL) {
+            return;
+        }
+        self.no_room_logged_at.set(Some(now));
+        let ClientCounts { connections, input_bytes, .. } = self.counts();
+        eprintln!(
+            "mulleinslip: no room for large requests: {connections} clients' connections hold {input_bytes} bytes; \
+             incomplete ones are refused after {} ms",
+            LARGE_REQUEST_TIMEOUT_WHEN_FULL.as_millis()
+        );
+    }
+
     /// Closes idle connections, now and later, until [`Clients::drain`] is turned off.
     pub fn close_idle(&self) {
         self.idle_close.send_replace(true);
@@ -194,6 +231,7 @@
             tokio::time::sleep(SWEEP_INTERVAL).await;
             let now = Instant::now();
             if self.input_budget.is_exhausted() {
+                self.log_no_room(now);
                 let connections = self.connections.borrow();
                 let holders = connections.values().filter(|connection| connection.holds_up_others(now));
                 holders.for_each(|connection| connection.request_close(CloseMode::RefuseIncomplete));
@@ -280,7 +318,9 @@
             self.free_permit();
         }
         let permit = tokio::time::timeout(PERMIT_TIMEOUT, self.permits.clone().acquire_owned()).await;
-        let Ok(Ok(permit)) = permit else { return };
+        let Ok(Ok(permit)) = permit else {
+            return self.add_to_counts(|counts| counts.no_place += 1);
+        };
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let connection = self.register(number);
@@ -397,11 +437,13 @@
         // hyper itself answers requests that it can't parse.
         let answer = match connection.close_mode() {
             CloseMode::RequestTimeout if connection.has_incomplete_request() && !connection.awaits_room() => {
+                self.add_to_counts(|counts| counts.timed_out += 1);
                 Some(close::REQUEST_TIMEOUT_RESPONSE)
             }
             CloseMode::RequestTimeout | CloseMode::RefuseIncomplete
                 if connection.has_incomplete_request() =>
             {
+                self.add_to_counts(|counts| counts.refused_incomplete += 1);
                 Some(close::REFUSED_RESPONSE)
             }
             _ => None,
--- a/crates/http/src/input_budget.rs
+++ b/crates/http/src/input_budget.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns how many bytes all connections hold.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.get()
+    }
+
     /// Returns whether a connection waits for room.
     pub fn is_exhausted(&self) -> bool {
         !self.waiting.borrow().is_empty() && self.held_bytes.get() >= self.max_bytes
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod audit;
 mod carrier;
 mod client_connection;
+mod client_counts;
 mod client_socket;
 mod clients;
 mod close;
@@ -23,6 +24,7 @@
 
 pub use answer::{Answer, Ticket};
 pub use carrier::{CarrierSettings, HttpCarrier};
+pub use client_counts::ClientCounts;
 pub use clients::{Clients, HandedOverConnection};
 pub use discovery::{Discovery, FetchError, MAX_LIST_BYTES};
 pub use front::HttpFront;
