--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -134,8 +134,14 @@
             }
         });
         let address = until("the relay's start", || {
+            let ended = child.try_wait().unwrap();
             let lines = log.lock().unwrap();
-            lines.iter().find_map(|l| l.split(" serves on ").nth(1)?.parse().ok())
+            let address = lines.iter().find_map(|l| l.split(" serves on ").nth(1)?.parse().ok());
+            assert!(
+                address.is_some() || ended.is_none(),
+                "the relay ended at its start: {ended:?}, {lines:?}"
+            );
+            address
         });
         Relay { program, child, address, folder, log, agent }
     }
