--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,8 @@
 mod bounds;
 mod cli;
 mod config;
+mod listeners;
+mod log;
 mod membership_updates;
 mod process_control;
 mod serve;
@@ -21,7 +23,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            serve::log(&why.replace('\n', " "));
+            log::log(&why.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/crates/daemon/src/membership_updates.rs
+++ b/crates/daemon/src/membership_updates.rs
@@ -1,6 +1,7 @@
 //! Passes updates of the list of hosts on: to the carrier at once, to the engine as an event, and to the
 //! journal for a later process. [`View`] decides which updates are trusted and which are passed on.
 
+use crate::log::log;
 use mulleinslip_engine::Engine;
 use mulleinslip_http::{Entry, Handle, HttpCarrier, List, Status};
 use mulleinslip_journal::{HostChange, Journal, RecoveredState, StoredHost, StoredList};
@@ -65,7 +66,7 @@
         let Err(failed) = record_update(journal, &view, agent, update) else { return };
         if *journal.stored_list() != StoredList::Incomplete {
             if !journal.is_released() {
-                log(&format!(
+                log_journal(&format!(
                     "the hosts are not stored: {failed}; a restart sends nothing before discovery answers"
                 ));
             }
@@ -81,12 +82,12 @@
 /// Logs that what is stored about hosts may be out of date.
 fn log_failure(recorded: io::Result<()>) {
     if let Err(e) = recorded {
-        log(&format!("{e}; after a restart, hosts that have left may count as active"));
+        log_journal(&format!("{e}; after a restart, hosts that have left may count as active"));
     }
 }
 
-fn log(text: &str) {
-    eprintln!("mulleinslip: journal: {text}");
+fn log_journal(text: &str) {
+    log(&format!("journal: {text}"));
 }
 
 /// Records an update: its changes if the stored list is complete, or else the whole list.
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -2,6 +2,8 @@
 
 use crate::account::UsageLogger;
 use crate::config::{self, Config};
+use crate::listeners::{listen_for_clients, serve_control};
+use crate::log::log;
 use crate::membership_updates::{MembershipUpdates, StartingList};
 use crate::process_control::{ProcessControl, ServingParts};
 use crate::takeover::{self, TakenOver, TakeoverServer};
@@ -16,11 +18,9 @@
 use mulleinslip_runtime::{Clock, Predecessor, Runtime, ShutdownTimes};
 use mulleinslip_takeover::calls_lock::{CallsLock, HeldLocks};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
@@ -59,11 +59,6 @@
     tokio::task::LocalSet::new().block_on(&runtime, serve(config, account))
 }
 
-/// Writes a line to the log.
-pub fn log(text: &str) {
-    eprintln!("mulleinslip: {text}");
-}
-
 async fn serve(config: Config, account: bool) -> Result<(), String> {
     let clock = Clock::start();
     // First of all, since a signal without a handler ends the process.
@@ -71,10 +66,8 @@
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let process_control = Rc::new(ProcessControl::new(config.names.clone()));
     if let Some(address) = config.control {
-        let control = TcpListener::bind(address).await.map_err(|e| format!("control on {address}: {e}"))?;
-        let bound_address = control.local_addr().map_err(|e| format!("control on {address}: {e}"))?;
-        log(&format!("{} control on {bound_address}", config.name));
-        spawn_local(mulleinslip_control::serve(control, process_control.clone()));
+        let served = serve_control(config.name.clone(), address, process_control.clone()).await;
+        served.map_err(|e| format!("control on {address}: {e}"))?;
     }
     let bounds = config.bounds;
     log(&format!("at most {bounds}"));
@@ -212,7 +205,7 @@
     let sweeper = carrier.clone();
     spawn_local(async move { sweeper.check_idle_connections().await });
     let inherited = taken_over.as_ref().and_then(|t| t.listener.as_ref()).map(|l| l.try_clone());
-    let listener = listen(config.listen, inherited.transpose().unwrap_or_default()).await;
+    let listener = listen_for_clients(config.listen, inherited.transpose().unwrap_or_default()).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let listen_address = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let intake = Rc::new(Intake {
@@ -313,17 +306,3 @@
     }
     Ok(())
 }
-
-/// Listens on the address, with the listener of the old process if that has the same address.
-async fn listen(
-    address: SocketAddr, inherited: Option<std::net::TcpListener>,
-) -> std::io::Result<TcpListener> {
-    if let Some(listener) = inherited {
-        let bound_address = listener.local_addr()?;
-        if bound_address == address || (address.port() == 0 && bound_address.ip() == address.ip()) {
-            listener.set_nonblocking(true)?;
-            return TcpListener::from_std(listener);
-        }
-    }
-    TcpListener::bind(address).await
-}
--- a/crates/daemon/src/takeover.rs
+++ b/crates/daemon/src/takeover.rs
@@ -1,6 +1,7 @@
 //! Takeover between two processes of the relay: connects the protocol of `mulleinslip_takeover::protocol`
 //! with the components of either side.
 
+use crate::log::log;
 use crate::process_control::ProcessControl;
 use mulleinslip_engine::{AttemptEnd as EngineAttemptEnd, Engine};
 use mulleinslip_http::{Clients, HandedOverConnection, Handle, HttpCarrier, Intake, List};
@@ -39,10 +40,6 @@
 /// Time for which the old process answers its second address after it has handed everything over.
 const LAST_CALLERS_TIME: Duration = Duration::from_millis(1500);
 
-fn log(text: &str) {
-    eprintln!("mulleinslip: {text}");
-}
-
 /// What the old process handed over together with the folder.
 pub struct TakenOver {
     pub channel: Channel,
--- a/crates/daemon/tests/killed_predecessor.rs
+++ b/crates/daemon/tests/killed_predecessor.rs
@@ -19,7 +19,8 @@
 /// Returns an address of an own IP, so that no other listener or connection gets its port meanwhile.
 fn own_address() -> SocketAddr {
     let number = ADDRESSES.fetch_add(1, Ordering::SeqCst);
-    TcpListener::bind(SocketAddr::from(([127, 77, 0, number], 0)))
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    TcpListener::bind(SocketAddr::from(([127, high | 1, low, number], 0)))
         .and_then(|listener| listener.local_addr())
         .unwrap()
 }
