--- a/crates/testkit/src/memory.rs
+++ b/crates/testkit/src/memory.rs
@@ -61,7 +61,10 @@
 
     /// Watches this process too, until it ends.
     pub fn add(&self, process: u32) {
-        self.watched.lock().unwrap().processes.push(process);
+        let mut watched = self.watched.lock().unwrap();
+        if !watched.processes.contains(&process) {
+            watched.processes.push(process);
+        }
     }
 
     /// Returns the sample with the largest sum so far.
