--- a/crates/daemon/src/bounds.rs
+++ b/crates/daemon/src/bounds.rs
@@ -12,9 +12,9 @@
 /// A list as received may take this fraction (one eighth) of the memory: while it is parsed it takes four times
 /// as much, which is half of the memory, see docs/CAPACITY.md.
 const LIST_MEMORY_DIVISOR: usize = 8;
-/// Unanswered input of all clients may take this fraction (one sixteenth) of the memory, beside what each
+/// Unanswered input of all clients may take this fraction (one thirty-second) of the memory, beside what each
 /// connection may hold in any case.
-const INPUT_MEMORY_DIVISOR: usize = 16;
+const INPUT_MEMORY_DIVISOR: usize = 32;
 /// Minimum of that: room for some large requests at a time.
 const MIN_INPUT_BYTES: usize = 1 << 20;
 /// Connections of clients may take this fraction (one eighth) of the memory, and connections to hosts as much.
--- a/crates/journal/src/ended.rs
+++ b/crates/journal/src/ended.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::io;
 
 /// Time for which an ended message is remembered.
 pub const ENDED_RETENTION_MS: f64 = 60_000.0;
@@ -32,8 +33,8 @@
     }
 
     /// Appends the frames to `contents`.
-    pub(crate) fn write_to(&self, contents: &mut Vec<u8>) {
-        self.rows.iter().for_each(|(_, frame)| contents.extend_from_slice(frame));
+    pub(crate) fn write_to(&self, contents: &mut impl io::Write) -> io::Result<()> {
+        self.rows.iter().try_for_each(|(_, frame)| contents.write_all(frame))
     }
 
     /// Adds a message that ended at `at`, and drops those whose time is over, and the oldest beyond `max_bytes`.
--- a/crates/journal/src/hosts.rs
+++ b/crates/journal/src/hosts.rs
@@ -58,8 +58,8 @@
     }
 
     /// Appends the live records to `contents`.
-    pub(crate) fn write_to(&self, contents: &mut Vec<u8>) {
-        self.rows.values().for_each(|row| contents.extend_from_slice(row));
+    pub(crate) fn write_to(&self, contents: &mut impl io::Write) -> io::Result<()> {
+        self.rows.values().try_for_each(|row| contents.write_all(row))
     }
 
     fn set(&mut self, key: RowKey, row: Vec<u8>) {
--- a/crates/journal/src/key_pauses.rs
+++ b/crates/journal/src/key_pauses.rs
@@ -20,8 +20,8 @@
     }
 
     /// Appends the frames to `contents`.
-    pub(crate) fn write_to(&self, contents: &mut Vec<u8>) {
-        self.rows.values().for_each(|(_, frame)| contents.extend_from_slice(frame));
+    pub(crate) fn write_to(&self, contents: &mut impl io::Write) -> io::Result<()> {
+        self.rows.values().try_for_each(|(_, frame)| contents.write_all(frame))
     }
 
     /// Returns the keys and the ends of their pauses.
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -5,6 +5,7 @@
 mod ended;
 mod hosts;
 mod key_pauses;
+mod reader;
 mod record;
 
 pub use ended::{EndedMessage, ENDED_RETENTION_MS};
@@ -14,15 +15,18 @@
 use ended::EndedTable;
 use hosts::HostTable;
 use key_pauses::KeyPauses;
-use record::{frame, read_records, Record};
+use reader::RecordReader;
+use record::{frame, Record};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Write};
-use std::path::PathBuf;
+use std::io::{self, BufWriter, Write};
+use std::path::{Path, PathBuf};
 
 /// The journal is compacted, which drops the records of ended messages, once it is larger than twice its live
 /// records plus this.
 const MAX_DEAD_BYTES: u64 = 256 * 1024;
+/// Number of bytes that a compaction writes at a time.
+const COMPACTION_BUFFER_BYTES: usize = 64 * 1024;
 /// Records about hosts may take this fraction (one fifth) of the folder, and twice as much during a
 /// compaction. Into 3 MB fit 4,096 tombstones, and 3,200 hosts beside as many that are leaving.
 const HOSTS_DIVISOR: u64 = 5;
@@ -126,17 +130,13 @@
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
-        let bytes = match fs::read(&path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-            other => other?,
-        };
-        let mut recovered = RecoveredState::default();
-        let (records, has_damage) = read_records(&bytes, &mut recovered.damage_notes);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let size = file.metadata()?.len();
+        let mut records = RecordReader::new(File::open(&path)?, size);
+        let mut recovered = RecoveredState::default();
         // Files take up space in units of 512 bytes, and there are two files during a compaction.
         let max_bytes = max_bytes.saturating_sub(2 * 512);
         let reserve_bytes = (max_bytes / 8).min(128 * 1024);
-        let size = bytes.len() as u64;
         let mut journal = Journal {
             path,
             lock,
@@ -152,8 +152,9 @@
             max_message_memory: u64::MAX,
             reserve_bytes,
         };
-        journal.replay(records, &mut recovered)?;
-        if has_damage {
+        journal.replay(&mut records, &mut recovered)?;
+        recovered.damage_notes = std::mem::take(&mut records.notes);
+        if records.has_damage {
             // The damaged record may be the departure of a host.
             journal.hosts.give_up_list()?;
         }
@@ -197,9 +198,9 @@
         self.compact()
     }
 
-    fn replay(&mut self, records: Vec<Record>, recovered: &mut RecoveredState) -> io::Result<()> {
+    fn replay(&mut self, records: &mut RecordReader<File>, recovered: &mut RecoveredState) -> io::Result<()> {
         let mut messages: BTreeMap<u64, RecoveredMessage> = BTreeMap::new();
-        for record in records {
+        while let Some(record) = records.next()? {
             let bytes = frame(&record)?;
             match record {
                 Record::Accepted(id, message) => {
@@ -266,21 +267,28 @@
     /// Writes all live records to a new file, which then replaces the old one.
     fn compact(&mut self) -> io::Result<()> {
         let new_path = self.path.with_extension("new");
-        let mut contents = Vec::with_capacity(self.live_size() as usize);
-        self.live.values().for_each(|frames| contents.extend_from_slice(frames));
-        self.ended.write_to(&mut contents);
-        self.hosts.write_to(&mut contents);
-        self.key_pauses.write_to(&mut contents);
-        let written = fs::write(&new_path, &contents).and_then(|()| fs::rename(&new_path, &self.path));
+        let written = self.write_live(&new_path).and_then(|()| fs::rename(&new_path, &self.path));
         if let Err(e) = written {
             let _ignored = fs::remove_file(&new_path);
             return Err(e);
         }
         self.file = OpenOptions::new().append(true).open(&self.path)?;
-        self.size = contents.len() as u64;
+        self.size = self.live_size();
         Ok(())
     }
 
+    /// Writes all live records to a file.
+    fn write_live(&self, path: &Path) -> io::Result<()> {
+        let mut contents = BufWriter::with_capacity(COMPACTION_BUFFER_BYTES, File::create(path)?);
+        for frames in self.live.values() {
+            contents.write_all(frames)?;
+        }
+        self.ended.write_to(&mut contents)?;
+        self.hosts.write_to(&mut contents)?;
+        self.key_pauses.write_to(&mut contents)?;
+        contents.flush()
+    }
+
     /// Returns the size of all live records, which is what a compacted file has.
     fn live_size(&self) -> u64 {
         self.live_bytes + self.hosts.bytes() + self.key_pauses.bytes() + self.ended.bytes()
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -8,7 +8,7 @@
 
 const FRAME_MARKER: [u8; 4] = *b"\xf5mj\x01";
 /// Marker, length of the payload and checksum.
-const FRAME_HEADER_BYTES: usize = FRAME_MARKER.len() + 8;
+pub(crate) const FRAME_HEADER_BYTES: usize = FRAME_MARKER.len() + 8;
 
 /// A message that was accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -116,37 +116,21 @@
     Ok(frame)
 }
 
+/// Returns the length of the frame that `bytes` begin with, as its header tells, if they begin with one.
+pub(crate) fn frame_length(bytes: &[u8]) -> Option<usize> {
+    let header = bytes.get(..FRAME_HEADER_BYTES).filter(|h| h.starts_with(&FRAME_MARKER))?;
+    let length = u32::from_le_bytes(header.get(4..8)?.try_into().ok()?);
+    FRAME_HEADER_BYTES.checked_add(length as usize)
+}
+
 /// Returns the record at the start of `bytes` and the length of its frame, if the frame is complete and
 /// undamaged.
 pub(crate) fn unframe(bytes: &[u8]) -> Option<(Record, usize)> {
-    let header = bytes.get(..FRAME_HEADER_BYTES).filter(|h| h.starts_with(&FRAME_MARKER))?;
-    let read_u32 = |at: usize| Some(u32::from_le_bytes(header.get(at..at + 4)?.try_into().ok()?));
-    let (length, checksum) = (read_u32(4)? as usize, read_u32(8)?);
-    let payload = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES.checked_add(length)?)?;
+    let length = frame_length(bytes)?;
+    let checksum = u32::from_le_bytes(bytes.get(8..FRAME_HEADER_BYTES)?.try_into().ok()?);
+    let payload = bytes.get(FRAME_HEADER_BYTES..length)?;
     if crc32fast::hash(payload) != checksum {
         return None;
     }
-    Some((postcard::from_bytes(payload).ok()?, FRAME_HEADER_BYTES + length))
-}
-
-/// Returns all undamaged records, and whether there is damage between them. After damage it searches for the
-/// next undamaged record. Damage at the end of the file is a torn tail, left by a process that was killed
-/// while it wrote.
-pub(crate) fn read_records(bytes: &[u8], notes: &mut Vec<String>) -> (Vec<Record>, bool) {
-    let (mut records, mut offset, mut has_damage) = (Vec::new(), 0, false);
-    while offset < bytes.len() {
-        if let Some((record, length)) = unframe(&bytes[offset..]) {
-            records.push(record);
-            offset += length;
-            continue;
-        }
-        let next = (offset + 1..bytes.len()).find(|i| unframe(&bytes[*i..]).is_some());
-        has_damage |= next.is_some();
-        match next {
-            Some(next) => notes.push(format!("journal: {} damaged bytes at {offset} skipped", next - offset)),
-            None => notes.push(format!("journal: torn tail of {} bytes dropped", bytes.len() - offset)),
-        }
-        offset = next.unwrap_or(bytes.len());
-    }
-    (records, has_damage)
+    Some((postcard::from_bytes(payload).ok()?, length))
 }
