--- a/crates/daemon/tests/memory_limit.rs
+++ b/crates/daemon/tests/memory_limit.rs
@@ -50,6 +50,15 @@
     eprintln!("{held} small and {} large messages held", large.count());
 }
 
+/// Starts a relay whose memory is watched, and fills its folder.
+fn start_full(config: Value, agent: &Agent) -> (Relay, MemoryWatch) {
+    let relay = Relay::with(PROGRAM, config, agent);
+    let watch = MemoryWatch::new(&relay.folder.join("state"));
+    watch.add(relay.child.id());
+    fill_folder(&relay);
+    (relay, watch)
+}
+
 /// Hands in a small message on a new connection, and waits for an answer that may not come.
 fn submit_unheard(address: SocketAddr, id: &str, dest: u64) {
     let request = format!(
@@ -75,10 +84,7 @@
 fn crowd_of_slow_clients_does_not_exceed_the_least_memory() {
     let agent = agent_with_hosts();
     let play = |name: &str, requests: &[SlowRequest]| {
-        let relay = Relay::with(PROGRAM, config_of(&agent), &agent);
-        let watch = MemoryWatch::new(&relay.folder.join("state"));
-        watch.add(relay.child.id());
-        fill_folder(&relay);
+        let (relay, watch) = start_full(config_of(&agent), &agent);
         let (stop, address) = (AtomicBool::new(false), Mutex::new(relay.address));
         std::thread::scope(|scope| {
             scope.spawn(|| play_crowd(&address, CLIENTS, requests, &stop));
@@ -103,10 +109,7 @@
 #[test]
 fn crowd_beside_kills_in_series_does_not_exceed_the_least_memory() {
     let agent = agent_with_hosts();
-    let mut relay = Relay::with(PROGRAM, config_of(&agent), &agent);
-    let watch = MemoryWatch::new(&relay.folder.join("state"));
-    watch.add(relay.child.id());
-    fill_folder(&relay);
+    let (mut relay, watch) = start_full(config_of(&agent), &agent);
     let (stop, address) = (AtomicBool::new(false), Mutex::new(relay.address));
     let requests = slow_requests();
     std::thread::scope(|scope| {
@@ -128,10 +131,7 @@
 #[test]
 fn takeover_beside_a_crowd_does_not_exceed_the_least_memory() {
     let agent = agent_with_hosts();
-    let mut relay = Relay::with(PROGRAM, config_of(&agent), &agent);
-    let watch = MemoryWatch::new(&relay.folder.join("state"));
-    watch.add(relay.child.id());
-    fill_folder(&relay);
+    let (mut relay, watch) = start_full(config_of(&agent), &agent);
     let (stop, address) = (AtomicBool::new(false), Mutex::new(relay.address));
     let requests = slow_requests();
     std::thread::scope(|scope| {
@@ -184,10 +184,7 @@
     let mut config = config_of(&agent);
     config["settings"]["Domain"]["Slots"] = json!(600);
     config["settings"]["Limits"]["MaxOpen"] = json!(900);
-    let relay = Relay::with(PROGRAM, config, &agent);
-    let watch = MemoryWatch::new(&relay.folder.join("state"));
-    watch.add(relay.child.id());
-    fill_folder(&relay);
+    let (relay, watch) = start_full(config, &agent);
     let (stop, address) = (AtomicBool::new(false), Mutex::new(relay.address));
     let requests = slow_requests();
     std::thread::scope(|scope| {
--- a/crates/http/src/client_connection.rs
+++ b/crates/http/src/client_connection.rs
@@ -289,6 +289,11 @@
         self.is_streamed.get() || self.unanswered.borrow().has_complete_request()
     }
 
+    /// Returns whether the current request submits a message, rather than asking for the health check.
+    pub fn submits_message(&self) -> bool {
+        self.unanswered.borrow().begins_with(b"POST ")
+    }
+
     /// Returns whether there is room for a server of the current request. If not, `waker` is called when there may
     /// be. A complete request is answered at once, so its server takes memory for a moment only.
     pub fn may_be_served(&self, waker: &Waker) -> bool {
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -343,7 +343,9 @@
                 if !ready!(poll_request(socket, connection, cx)) {
                     return Poll::Ready(());
                 }
-                if *self.intake.paused.borrow() || !connection.may_be_served(cx.waker()) {
+                // Messages that wait for the end of a takeover are handed over, and need no server here.
+                let is_paused = *self.intake.paused.borrow() && connection.submits_message();
+                if is_paused || !connection.may_be_served(cx.waker()) {
                     return Poll::Pending;
                 }
             }
--- a/crates/http/src/unanswered_input.rs
+++ b/crates/http/src/unanswered_input.rs
@@ -80,6 +80,11 @@
         self.bytes.is_empty()
     }
 
+    /// Returns whether the input begins with these bytes.
+    pub fn begins_with(&self, bytes: &[u8]) -> bool {
+        self.bytes.starts_with(bytes)
+    }
+
     /// Adds bytes to the length of the incomplete request.
     pub fn add_to_incomplete(&mut self, count: usize) {
         self.incomplete_bytes += count;
